--- /dev/null
+++ b/adapter/wire.h
@@ -0,0 +1,83 @@
+// The bench's wire: JSON lines to typed events, typed actions to JSON lines. No decisions.
+#pragma once
+
+#include <simdjson.h>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "loftfront/balancer.h"
+
+namespace loftfront::wire {
+
+/// Malformed input: the text names the round and the field.
+struct WireError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct Provision {
+    std::uint64_t seed = 0;
+    Settings settings;
+};
+struct Stop {};
+
+struct Message {
+    std::uint32_t instance = 0;
+    std::variant<Provision, Stop, Event> body;
+};
+struct Batch {
+    std::uint64_t round = 0;
+    Time clock{};
+    std::vector<Message> messages;
+};
+
+/// Reads batches. Endpoint lists are kept between batches and resolved in the order of the events.
+class Reader {
+  public:
+    /// Throws WireError where the line is no valid batch.
+    Batch read(const std::string& line);
+
+  private:
+    static constexpr std::size_t kLists = 16;
+    simdjson::dom::parser parser_;
+    /// How many of each thing the settings name: what an index in an event must stay below.
+    struct Ranges {
+        std::size_t classes = 0, tenants = 0, zones = 0, kinds = 0;
+    };
+    struct List {
+        std::shared_ptr<const EndpointList> endpoints;
+        std::uint32_t most_zone = 0, most_kind = 0;
+    };
+    struct State {
+        std::array<List, kLists> lists;
+        std::map<std::uint32_t, Ranges> running;  ///< by instance
+    };
+    static void read_event(const simdjson::dom::object& event, std::string_view tag, State& state,
+                           Batch& batch);
+    State state_;
+};
+
+/// Writes one reply line, without the line's end.
+class Writer {
+  public:
+    explicit Writer(std::uint64_t round);
+    void write(std::uint32_t instance, const Action& action);
+    void write_broken(std::uint32_t instance, std::string_view reason);
+    std::string finish() &&;
+
+  private:
+    void open(std::string_view tag, std::uint32_t instance);
+    void field(std::string_view name, std::int64_t value);
+    void field(std::string_view name, std::string_view value);
+    std::string text_;
+    bool first_ = true;
+};
+
+}  // namespace loftfront::wire
--- /dev/null
+++ b/src/logic.cpp
@@ -0,0 +1,683 @@
+// Every decision of loftfront. The interface is include/loftfront/balancer.h.
+//
+// The ordinary path follows "Retries Done Right": served calls earn tokens that retries spend, retries wait
+// by decorrelated jitter and end at the deadline; a pick takes the less loaded of two random ready servers
+// by own calls in flight. docs/design.md tells where and when the module departs from it, and why.
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <stdexcept>
+#include <unordered_map>
+#include <utility>
+
+#include "loftfront/balancer.h"
+#include "mechanics.h"
+
+namespace loftfront {
+namespace {
+
+using namespace std::chrono_literals;
+
+// ---- tunables -------------------------------------------------------------------------------------
+
+constexpr double kBucketCapacity = 100.0;   // tokens; the source's figure
+constexpr double kRetryCost = 10.0;         // tokens a retry; retries add at most a tenth (the source's)
+constexpr Duration kBackoffBase = 100ms;    // the source's base wait
+constexpr Duration kBackoffCap = 30s;       // the source's longest wait
+constexpr Duration kDeadlineBuffer = 50ms;  // an attempt started later than this before the end is lost
+constexpr std::size_t kReach = 4;    // servers used at least: two pairs of a cell; fewer are heard of more
+constexpr std::size_t kCallers = 2;  // and as many more as give each server this many callers, for evenness
+constexpr double kColdEarn = 0.5;  // of the told fall multiple goes to a cold server; the rest is for chance
+constexpr double kViewGain = 0.3;  // weight of the newest answer: three in a row decide
+constexpr Duration kViewHalf = 10s;    // a view fades by half in this: many troubles last some tens of s
+constexpr double kTie = 0.9;           // loads closer than this are alike
+constexpr double kBadWeight = 10.0;    // a server that fails always looks as loaded as with ten calls more
+constexpr double kPressureMost = 1.5;  // a call that waited this many times its room counts no more than that
+constexpr double kPressureGain = 0.1;  // weight of the newest call: a single slow one does not shed
+constexpr Duration kPressureFade = 1s;  // pressure halves in this time where nothing comes back
+constexpr std::int64_t kRateSpan = 8;   // calls that a rate is averaged over: few, to follow a burst
+constexpr double kRateSilent = 3.0;     // a silence this many times the usual gap is no longer chance
+constexpr double kRateChance = 1.0;     // deviations of calls out that are put down to chance on a calm day
+constexpr double kShedFrom = 0.1;  // pressure from which the least worth is shed; the scan is in the results
+constexpr double kShedSpread = 0.4;    // how much more pressure the class of most worth stands
+constexpr double kShedWidth = 0.15;    // over which shedding grows from none to all: a jam must not build up
+constexpr double kSilenceFew = 0.15;   // share of calls met with silence from which connections are suspected
+constexpr double kSilenceApart = 2.0;  // idle connections are closed where they meet this much more silence
+constexpr int kAskSpread = 2;          // first subscriptions spread over ask_every / this
+constexpr int kAskBase = 10;           // and failed ones wait from ask_every / this on
+
+/// Served calls earn, retries spend.
+class RetryBudget {
+  public:
+    void earn() { tokens_ = std::min(kBucketCapacity, tokens_ + 1.0); }
+    bool spend() {
+        if (tokens_ < kRetryCost) return false;
+        tokens_ -= kRetryCost;
+        return true;
+    }
+    void refund() { tokens_ = std::min(kBucketCapacity, tokens_ + kRetryCost); }
+
+  private:
+    double tokens_ = kBucketCapacity;
+};
+
+/// The ration of attempts after a request's first, where the settings tell one. It stands beside the retry
+/// budget, which goes by what was served: this one goes by what was taken, in a sliding window whose edge is
+/// read against us both ways.
+class AttemptRation {
+  public:
+    explicit AttemptRation(const std::optional<AttemptBudget>& told)
+        : told_(told), taken_(told ? told->look_back : Duration{}), further_(taken_) {}
+    void took(Time now) { taken_.add(now); }
+    void sent(Time now) { further_.add(now); }
+    void moot(Time sent) { further_.remove(sent); }  // it turned out never to have been sent
+    bool allows(Time now) {
+        if (!told_) return true;
+        return further_.count(now, true) + 1.0 <= told_->floor + told_->ratio * taken_.count(now, false);
+    }
+
+  private:
+    std::optional<AttemptBudget> told_;
+    Window taken_, further_;
+};
+
+/// Decorrelated jitter: min(cap, base + random x (prev x 3 - base)).
+class Backoff {
+  public:
+    explicit Backoff(Duration base = kBackoffBase, Duration cap = kBackoffCap)
+        : base_(base), cap_(cap), prev_(base) {}
+    Duration next(Random& random) {
+        prev_ = std::min(cap_, base_ + scaled(prev_ * 3 - base_, random.unit()));
+        return prev_;
+    }
+
+  private:
+    Duration base_, cap_, prev_;
+};
+
+/// What this instance has seen of a class.
+struct ClassView {
+    Duration usual{};      // latency of served calls, averaged
+    Duration floor{};      // and a low one, which has hardly waited
+    Duration most_left{};  // the longest that a client still waited when its call arrived
+};
+
+/// How much of the time between a call that hardly waits and its aim goes on waiting, over recent calls.
+class Pressure {
+  public:
+    void see(double waited, Time now) {
+        value_ = value(now) + (std::clamp(waited, 0.0, kPressureMost) - value(now)) * kPressureGain;
+        at_ = now;
+    }
+    /// It fades where nothing is heard: all may have been shed.
+    double value(Time now) const {
+        const double age = ratio(now - at_, kPressureFade);
+        return age > 0.5 ? value_ * std::exp2(0.5 - age) : value_;
+    }
+
+  private:
+    double value_ = 0.0;
+    Time at_{};
+};
+
+/// How fast calls come back served.
+class ServedRate {
+  public:
+    /// The time in which nothing was out says nothing of how fast calls come back.
+    void busy(Time now) { last_ = now; }
+    void served(Time now) {
+        count_ = std::min(count_ + 1, kRateSpan);
+        const double gap = static_cast<double>((now - last_).count());
+        gap_ += (gap - gap_) / static_cast<double>(count_);
+        last_ = now;
+    }
+    /// How long as many calls as this would take to come back; those that chance may account for don't count.
+    Duration time_for(int calls, double chance, Time now) const {
+        // Before anything has come back the silence itself is all that is known.
+        const double silent = static_cast<double>((now - last_).count()) / (count_ ? kRateSilent : 1.0);
+        const double above_chance = calls - chance * std::sqrt(static_cast<double>(calls));
+        return Duration{static_cast<Duration::rep>(above_chance * std::max(gap_, silent))};
+    }
+
+  private:
+    std::int64_t count_ = 0;
+    Time last_{};
+    double gap_ = 0.0;  // between served calls, averaged
+};
+
+struct Server {
+    Endpoint told;
+    std::vector<std::pair<Time, Duration>> out;  // own attempts: when sent, how long the class usually takes
+    std::vector<Time> idle;                      // connections that carry nothing, by when that began
+    double slow = 1.0;                           // its latency against what is usual
+    double bad = 0.0;                            // share of its answers that failed, lately
+    Time heard{};
+    double cold_tokens = 0.0;  // earned by served calls while it is cold
+};
+
+struct Attempt {
+    Endpoint to;  // as listed when it was sent: the list may drop it before its repeat
+    Time sent{};
+    Duration idle{};  // how long its connection had carried nothing; 0: a new one
+    bool out = true;
+    bool may_have_run = true;  // until its outcome proves that it never ran
+};
+
+/// A request this balancer owes an answer, or one answered that still has attempts out.
+struct Call {
+    Request request;
+    std::vector<Attempt> attempts;
+    Backoff backoff;
+    bool open = true;   // an answer is owed
+    bool held = false;  // waits for its timer, for a server or for its turn
+    bool paid = false;  // a retry's tokens were taken and it has not been sent yet
+    Time held_until{};  // an earlier timer of this call has outlived its purpose; hosts round within a tick
+    Time rest_until{};  // its key rests: an attempt may have gone on after its outcome
+};
+
+bool proves_never_ran(Status s) {
+    return s == Status::Full || s == Status::ConnectFailed || s == Status::Moot;
+}
+
+bool may_still_run(Status s) {
+    return s == Status::Timeout || s == Status::Reset || s == Status::Cancelled;
+}
+
+constexpr std::uint64_t kDiscoveryToken = 0;  // every other token is a call's number
+
+}  // namespace
+
+struct Balancer::Impl {
+    Settings settings;
+    Random random;
+    RetryBudget budget;
+    AttemptRation ration;
+    Backoff ask_backoff;
+    std::map<EndpointId, Server> servers;
+    std::vector<Server*> ring;  // the ready ones, in the order of lay_ring()
+    int total_in_flight = 0;
+    std::map<std::uint64_t, Call> calls;                   // by number, in order of arrival
+    std::unordered_map<RequestId, std::uint64_t> numbers;  // looked up only, never walked
+    std::uint64_t last_number = kDiscoveryToken;
+    std::unordered_map<std::uint64_t, std::deque<std::uint64_t>>
+        turns;                          // by key: its calls; the first may go
+    std::deque<std::uint64_t> next_up;  // calls for which a server or their turn has come in this event
+    Time now{};
+    std::vector<Action>* out = nullptr;
+
+    std::vector<ClassView> views;
+    Pressure pressure;
+    ServedRate served_rate;
+    Duration stale_after{};  // connections idle for longer are closed before use; 0: none are
+    Time stale_seen{};
+    double silence_idle = 0.0, silence_fresh = 0.0;  // share met with silence, by the connection's kind
+
+    Impl(Settings s, std::uint64_t seed)
+        : settings((validate(s), std::move(s))),
+          random(seed),
+          ration(settings.rules.attempt_budget),
+          ask_backoff(settings.rules.ask_every / kAskBase, settings.rules.ask_every) {
+        views.resize(settings.classes.size());
+    }
+
+    // ---- discovery --------------------------------------------------------------------------------
+
+    void start() {
+        // All instances of a fleet may start at once: a herd of subscriptions would fail them all.
+        if (settings.subscribe) ask_after(scaled(settings.rules.ask_every, random.unit() / kAskSpread));
+    }
+
+    void ask_after(Duration wait) { out->push_back(SetTimer{now + wait, kDiscoveryToken}); }
+
+    void on(const Discovered& news) {
+        if (news.kind == Discovered::Kind::Failed) {
+            if (settings.subscribe) ask_after(ask_backoff.next(random));
+            return;
+        }
+        if (news.kind != Discovered::Kind::Delta) {
+            for (auto& [id, server] : servers) server.told.availability = Availability::Gone;
+        }
+        if (news.endpoints) {
+            for (const Endpoint& told : *news.endpoints) {
+                Server& server = servers[told.id];
+                // A start that is new: the replicas' first calls to it must not all come at once.
+                if (server.told.started != told.started) server.cold_tokens = random.unit();
+                server.told = told;
+            }
+        }
+        for (auto it = servers.begin(); it != servers.end();) {
+            const bool over = it->second.told.availability == Availability::Gone && it->second.out.empty();
+            it = over ? servers.erase(it) : std::next(it);
+        }
+        if (news.kind != Discovered::Kind::Cached) {
+            ask_backoff = Backoff(settings.rules.ask_every / kAskBase, settings.rules.ask_every);
+        }
+        lay_ring();
+        for (const auto& [number, call] : calls) {
+            if (has_turn(number, call)) next_up.push_back(number);
+        }
+    }
+
+    /// Pairs of one cell stay together, so that a keyed repeat finds a second server of its cell within
+    /// reach; the pairs are shuffled, so that an outage of a zone or cell takes only a part of any reach.
+    void lay_ring() {
+        std::map<std::uint32_t, std::uint64_t> met;  // how many of each cell
+        std::vector<std::pair<std::uint64_t, Server*>> order;
+        for (auto& [id, server] : servers) {
+            if (server.told.availability != Availability::Ready) continue;
+            const std::uint64_t pair = met[server.told.cell]++ / 2;
+            order.emplace_back(Random(server.told.cell * 0x10000ull + pair).next(), &server);
+        }
+        std::stable_sort(order.begin(), order.end(), [](auto& a, auto& b) { return a.first < b.first; });
+        ring.clear();
+        for (const auto& [key, server] : order) ring.push_back(server);
+    }
+
+    // ---- picking ----------------------------------------------------------------------------------
+
+    /// The share of its capacity that a server has by now, by the slowest growth the rules allow.
+    double ramp_share(const Server& server) const {
+        if (!server.told.started || settings.rules.ramp_time <= Duration{}) return 1.0;
+        const double age = ratio(now - *server.told.started, settings.rules.ramp_time);
+        const double from = settings.rules.cold_from;
+        return from + (1.0 - from) * std::clamp(age, 0.0, 1.0);
+    }
+
+    /// Whether the class lets this call go to this server: an effect must not happen twice.
+    bool may_send_to(const Call& call, const Server& server) const {
+        const RequestClass& rules = settings.classes[call.request.class_index];
+        if (rules.effect == Effect::Free) return true;
+        for (const Attempt& attempt : call.attempts) {
+            if (!attempt.may_have_run) continue;
+            if (rules.effect == Effect::SingleShot || now >= attempt.sent + rules.window) return false;
+            if (rules.group == Group::All) continue;
+            const Endpoint &a = attempt.to, &b = server.told;
+            if (rules.group == Group::Zone ? a.zone != b.zone : a.cell != b.cell) return false;
+        }
+        return true;
+    }
+
+    /// How many servers this instance spreads its calls over. Guards against a fleet whose replicas together
+    /// hold more connections than the servers accept; a busy instance reaches further, so that a hot one
+    /// does not crowd a few servers.
+    std::size_t reach() const {
+        const std::size_t even = kCallers * ring.size() / settings.replicas;
+        return std::max({kReach, even, static_cast<std::size_t>(total_in_flight)});
+    }
+
+    /// The ready servers in this instance's own order: replicas start evenly spread around the ring.
+    Server& at(std::size_t i) {
+        const std::size_t start = settings.position % settings.replicas * ring.size() / settings.replicas;
+        return *ring[(start + i) % ring.size()];
+    }
+
+    /// The less loaded of two random ready servers within reach; a retry goes elsewhere where it can.
+    Server* pick(const Call& call) {
+        std::vector<Server*> fresh, tried, cold;
+        const std::size_t wanted = reach();
+        for (std::size_t i = 0; i < ring.size() && (i < wanted || fresh.empty()); ++i) {
+            Server& server = at(i);
+            if (!may_send_to(call, server)) continue;
+            if (ramp_share(server) < 1.0 && server.cold_tokens < 1.0) {
+                cold.push_back(&server);
+                continue;
+            }
+            const bool again = std::any_of(call.attempts.begin(), call.attempts.end(),
+                                           [&](const Attempt& a) { return a.to.id == server.told.id; });
+            (again ? tried : fresh).push_back(&server);
+        }
+        // Where only cold servers are left they must serve: a call held back until its end is lost for sure.
+        std::vector<Server*>& from = !fresh.empty() ? fresh : tried.empty() ? cold : tried;
+        if (from.empty()) return nullptr;
+        const std::size_t first = random.below(from.size());
+        if (from.size() == 1) return from[first];
+        std::size_t second = random.below(from.size() - 1);
+        if (second >= first) ++second;
+        // Near enough is a tie, left to the draw: a server out of favour is heard of again once its view has
+        // faded.
+        return load(*from[second]) < load(*from[first]) * kTie ? from[second] : from[first];
+    }
+
+    // ---- requests ---------------------------------------------------------------------------------
+
+    void on(const Request& request) {
+        if (request.class_index >= settings.classes.size()) throw std::invalid_argument("class out of range");
+        if (request.tenant && *request.tenant >= settings.tenants.size()) {
+            throw std::invalid_argument("tenant out of range");
+        }
+        if (numbers.contains(request.id)) return;  // still held: it is owed one answer, not two
+        const std::uint64_t number = ++last_number;
+        numbers[request.id] = number;
+        calls[number].request = request;
+        ration.took(now);
+        ClassView& view = views[request.class_index];
+        view.most_left = std::max(view.most_left, request.deadline - now);
+        if (settings.tier == 0 ? sheds(request) : doomed(request)) return give_up(number);
+        if (takes_turns(request)) turns[*request.key].push_back(number);
+        try_send(number);
+    }
+
+    // ---- order by key -----------------------------------------------------------------------------
+
+    bool takes_turns(const Request& request) const {
+        return request.key && settings.classes[request.class_index].sequential;
+    }
+
+    /// Whether the calls before it with its key are over and done. One that waits for a retry keeps the turn:
+    /// its worth is no less than that of those behind it, and they may not overtake it.
+    bool has_turn(std::uint64_t number, const Call& call) const {
+        if (!takes_turns(call.request)) return true;
+        const auto queue = turns.find(*call.request.key);  // a call declined on arrival is in none
+        return queue != turns.end() && queue->second.front() == number;
+    }
+
+    /// Until when a call that was never sent may wait: for its turn, while its answer would still be worth
+    /// something, so that a stuck key does not send what nobody wants any more; else for a server.
+    Time may_wait_until(std::uint64_t number, const Call& call) const {
+        const Time end = call.request.deadline - kDeadlineBuffer;
+        if (has_turn(number, call)) return end;
+        return std::min(end, now + worthwhile(call.request) - views[call.request.class_index].usual);
+    }
+
+    /// A call that is over, with every attempt's outcome in, makes way; the next may go in this very event.
+    void pass_turn(std::uint64_t number, const Request& request) {
+        const auto it = takes_turns(request) ? turns.find(*request.key) : turns.end();
+        if (it == turns.end()) return;
+        std::erase(it->second, number);
+        if (it->second.empty()) {
+            turns.erase(it);
+        } else {
+            next_up.push_back(it->second.front());
+        }
+    }
+
+    /// Sends those for which a server or their turn has come.
+    void finish_event() {
+        for (; !next_up.empty(); next_up.pop_front()) {
+            const auto it = calls.find(next_up.front());
+            if (it != calls.end() && it->second.held && it->second.attempts.empty()) try_send(it->first);
+        }
+    }
+
+    // ---- the life of a request --------------------------------------------------------------------
+
+    /// Whether even a call that hardly waits would come too late to be worth anything. Guards against jams in
+    /// which servers work on what nobody wants any more. Above the last tier a slot is held meanwhile.
+    bool doomed(const Request& request) const {
+        return worthwhile(request) < views[request.class_index].usual;
+    }
+
+    /// How long an answer is still worth something.
+    Duration worthwhile(const Request& request) const {
+        const RequestClass& rules = settings.classes[request.class_index];
+        const Duration past =
+            rules.late_worth > 0.0 ? Duration{} : views[request.class_index].most_left - rules.aim;
+        return request.deadline - now - std::max(Duration{}, past);
+    }
+
+    double value_density(std::size_t i) const {
+        const auto usual = views[i].usual > Duration{} ? views[i].usual : settings.classes[i].aim;
+        return settings.classes[i].worth / static_cast<double>(std::max(usual, Duration{1}).count());
+    }
+
+    bool sheds(const Request& request) {
+        double best = 0.0;
+        for (std::size_t i = 0; i < views.size(); ++i) best = std::max(best, value_density(i));
+        const double value = best > 0.0 ? value_density(request.class_index) / best : 1.0;
+        const double from = kShedFrom + kShedSpread * value;
+        const ClassView& view = views[request.class_index];
+        const Duration room = settings.classes[request.class_index].aim - view.floor;
+        // A few calls out tell nothing while work is merely uneven; once calls are seen to wait, the count is
+        // the earlier sign. Guards against jams that show too late in a few answers a second.
+        const double waits = pressure.value(now), calm = 1.0 - waits / (kShedFrom + kShedSpread);
+        const Duration coming_back =
+            served_rate.time_for(total_in_flight, kRateChance * std::max(0.0, calm), now);
+        const double coming = room > Duration{} ? ratio(coming_back - view.floor, room) : 0.0;
+        return random.unit() * kShedWidth < std::max(waits, coming) - from;
+    }
+
+    void look(Server& server, const ClassView& view, const Outcome& outcome) {
+        const bool answered = outcome.status == Status::Ok;
+        const double fade = fading(server);
+        server.slow = 1.0 + (server.slow - 1.0) * fade;
+        server.bad = server.bad * fade;
+        if ((answered || outcome.status == Status::Timeout) && view.usual > Duration{}) {
+            server.slow += (ratio(outcome.latency, view.usual) - server.slow) * kViewGain;
+        }
+        server.bad += ((answered ? 0.0 : 1.0) - server.bad) * kViewGain;
+        server.heard = now;
+    }
+
+    double fading(const Server& server) const { return std::exp2(-ratio(now - server.heard, kViewHalf)); }
+
+    /// What the comparison goes by: own calls in flight, weighed by the told size and what was seen lately.
+    double load(const Server& server) const {
+        const double fade = fading(server);
+        double slow = 1.0 + (server.slow - 1.0) * fade;
+        // A call that is overdue tells as much as one that came back late. Guards against a server that
+        // stands still, vanished or lost its connections unseen: it gives no answers to go by.
+        for (const auto& [sent, usual] : server.out) {
+            if (usual > Duration{}) slow = std::max(slow, ratio(now - sent, usual));
+        }
+        const double calls = static_cast<double>(server.out.size() + 1) / std::max(server.told.weight, 0.1);
+        return calls * std::max(0.1, slow) * (1.0 + kBadWeight * server.bad * fade);
+    }
+
+    void learn(const Call& call, const Outcome& outcome) {
+        const RequestClass& rules = settings.classes[call.request.class_index];
+        ClassView& view = views[call.request.class_index];
+        if (const auto server = servers.find(outcome.endpoint); server != servers.end()) {
+            look(server->second, view, outcome);
+        }
+        if (outcome.status == Status::Full) return pressure.see(1.0, now);
+        if (outcome.status == Status::Ok) {
+            if (view.usual == Duration{}) view.usual = view.floor = outcome.latency;
+            view.usual += (outcome.latency - view.usual) / 16;
+            view.floor += outcome.latency < view.floor ? (outcome.latency - view.floor) / 4 : view.floor / 64;
+        } else if (outcome.status != Status::Timeout) {
+            return;
+        }
+        const Duration room = rules.aim - view.floor;
+        if (room > Duration{}) pressure.see(ratio(outcome.latency - view.floor, room), now);
+    }
+
+    void try_send(std::uint64_t number) {
+        Call& call = calls.at(number);
+        call.held = false;
+        const bool again = !call.attempts.empty();
+        if (again && !ration.allows(now)) return retry(number, call);
+        if (Server* server = has_turn(number, call) ? pick(call) : nullptr) {
+            if (again) ration.sent(now);
+            call.paid = false;
+            server->cold_tokens -= ramp_share(*server) < 1.0 ? 1.0 : 0.0;
+            server->out.emplace_back(now, views[call.request.class_index].usual);
+            if (++total_in_flight == 1) served_rate.busy(now);
+            call.attempts.push_back({server->told, now, take_connection(*server)});
+            // Between tiers given up once the answer is worth nothing: a silent server must not hold the slot
+            // of the tier above. At the first tier that would only bring the client back sooner.
+            Duration limit{};
+            if (settings.tier > 0) limit = std::max(worthwhile(call.request), settings.tick);
+            out->push_back(Send{call.request.id, server->told.id, limit});
+        } else if (const Time until = may_wait_until(number, call); !again && now < until) {
+            hold(number, call, until);  // no server known yet, or not its turn
+        } else {
+            give_up(number);
+        }
+    }
+
+    // ---- connections and silence ------------------------------------------------------------------
+
+    /// How long the connection taken has been idle. The host takes the one used last, as is the custom.
+    /// Guards against connections that something on the way dropped unseen: one idle for longer than what was
+    /// met with silence lately is given up before it is used. The memory fades by doubling.
+    Duration take_connection(Server& server) {
+        if (stale_after > Duration{}) {
+            const Duration stale = scaled(stale_after, std::exp2(ratio(now - stale_seen, kViewHalf)));
+            if (stale > settings.limits.connection_idle) stale_after = Duration{};
+            if (!server.idle.empty() && now - server.idle.back() > stale) {
+                out->push_back(ShutIdle{server.told.id});
+                server.idle.clear();
+            }
+        }
+        if (server.idle.empty()) return Duration{};
+        const Duration idle = now - server.idle.back();
+        server.idle.pop_back();
+        return idle;
+    }
+
+    /// A call met with silence may never have arrived. Where calls on fresh connections meet as much, it is
+    /// not the connections: closing them would only cost handshakes.
+    void watch_silence(const Attempt& attempt, bool silent) {
+        double& share = attempt.idle > Duration{} ? silence_idle : silence_fresh;
+        share += ((silent ? 1.0 : 0.0) - share) * kPressureGain;
+        if (!silent) return;
+        if (silence_idle < kSilenceFew + kSilenceApart * silence_fresh) {
+            stale_after = Duration{};
+        } else if (attempt.idle > Duration{}) {
+            stale_after =
+                stale_after > Duration{} ? std::min(stale_after, attempt.idle / 2) : attempt.idle / 2;
+            stale_seen = now;
+        }
+    }
+
+    void hold(std::uint64_t number, Call& call, Time until) {
+        call.held = true;
+        call.held_until = until;
+        out->push_back(SetTimer{until, number});
+    }
+
+    void on(const TimerFired& timer) {
+        if (timer.token == kDiscoveryToken) {
+            out->push_back(Subscribe{});
+        } else if (const auto it = calls.find(timer.token); it != calls.end()) {
+            if (it->second.held && now + settings.tick >= it->second.held_until) return try_send(timer.token);
+            forget_if_over(timer.token);
+        }
+    }
+
+    void on(const Outcome& outcome) {
+        const auto known = numbers.find(outcome.id);
+        if (known == numbers.end()) return;
+        const std::uint64_t number = known->second;
+        Call& call = calls.at(number);
+        if (outcome.attempt >= call.attempts.size() || !call.attempts[outcome.attempt].out) return;
+        Attempt& attempt = call.attempts[outcome.attempt];
+        attempt.out = false;
+        --total_in_flight;
+        attempt.may_have_run = !proves_never_ran(outcome.status);
+        if (outcome.status == Status::Moot && outcome.attempt > 0) ration.moot(attempt.sent);
+        if (may_still_run(outcome.status)) call.rest_until = now + settings.rules.turn_gap;
+        if (const auto server = servers.find(attempt.to.id); server != servers.end()) {
+            const bool answered = outcome.status == Status::Ok || outcome.status == Status::Error;
+            if (answered) server->second.idle.push_back(now);
+            if (answered || may_still_run(outcome.status)) watch_silence(attempt, !answered);
+            auto& sent = server->second.out;
+            sent.erase(
+                std::find_if(sent.begin(), sent.end(), [&](auto& s) { return s.first == attempt.sent; }));
+        }
+        learn(call, outcome);
+        if (outcome.status == Status::Ok) {
+            budget.earn();
+            served_rate.served(now);
+            warm_up();
+        }
+        if (outcome.last) call.open = false;
+        if (call.open && !call.held && !any_out(call)) {
+            retry(number, call);
+        } else {
+            forget_if_over(number);
+        }
+    }
+
+    /// Served calls earn what a cold server may be sent: the share that it can do of what each server within
+    /// reach serves. Guards against pushing it over: it always looks idle, above all while the rest are full.
+    void warm_up() {
+        const std::size_t wanted = std::min(reach(), ring.size());
+        for (std::size_t i = 0; i < wanted; ++i) {
+            Server& server = at(i);
+            if (const double share = ramp_share(server); share < 1.0) {
+                server.cold_tokens =
+                    std::min(1.0, server.cold_tokens + settings.rules.fall_multiple * kColdEarn * share /
+                                                           static_cast<double>(wanted));
+            }
+        }
+    }
+
+    void retry(std::uint64_t number, Call& call) {
+        const bool allowed = call.attempts.size() < settings.limits.max_attempts && may_repeat(call);
+        const Duration left = call.request.deadline - now - kDeadlineBuffer;
+        if (!allowed || left <= Duration{} || doomed(call.request)) return give_up(number);
+        if (!call.paid && !budget.spend()) return give_up(number);
+        call.paid = true;
+        hold(number, call, now + std::min(call.backoff.next(random), left));
+    }
+
+    /// Whether any server at all could still get this call.
+    bool may_repeat(const Call& call) const {
+        return std::any_of(servers.begin(), servers.end(), [&](const auto& entry) {
+            return entry.second.told.availability == Availability::Ready && may_send_to(call, entry.second);
+        });
+    }
+
+    void give_up(std::uint64_t number) {
+        Call& call = calls.at(number);
+        const bool harmless =
+            settings.classes[call.request.class_index].effect == Effect::Free ||
+            std::none_of(call.attempts.begin(), call.attempts.end(), [](auto& a) { return a.may_have_run; });
+        out->push_back(harmless ? Action{Refuse{call.request.id, Duration{}}} : Fail{call.request.id});
+        call.open = call.held = false;
+        forget_if_over(number);
+    }
+
+    void on(const Lapsed& lapsed) {
+        const auto known = numbers.find(lapsed.id);
+        if (known == numbers.end()) return;
+        Call& call = calls.at(known->second);
+        call.open = call.held = false;
+        forget_if_over(known->second);
+    }
+
+    static bool any_out(const Call& call) {
+        return std::any_of(call.attempts.begin(), call.attempts.end(), [](auto& a) { return a.out; });
+    }
+
+    /// Attempts may be out after the answer; the call is kept until the last of them ends.
+    void forget_if_over(std::uint64_t number) {
+        const auto it = calls.find(number);
+        Call& call = it->second;
+        if (call.open || any_out(call)) return;
+        if (std::exchange(call.paid, false)) budget.refund();
+        if (takes_turns(call.request) && now < call.rest_until) {
+            return out->push_back(SetTimer{call.rest_until, number});
+        }
+        pass_turn(number, call.request);
+        numbers.erase(call.request.id);
+        calls.erase(it);
+    }
+
+    void on(const FirstByte&) {}
+    void on(const ProbeResult&) {}
+    void on(const PeerMessage&) {}
+};
+
+Balancer::Balancer(Settings settings, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
+Balancer::~Balancer() = default;
+Balancer::Balancer(Balancer&&) noexcept = default;
+Balancer& Balancer::operator=(Balancer&&) noexcept = default;
+
+void Balancer::start(Time now, std::vector<Action>& out) {
+    impl_->now = now;
+    impl_->out = &out;
+    impl_->start();
+}
+
+void Balancer::handle(Time now, const Event& event, std::vector<Action>& out) {
+    impl_->now = now;
+    impl_->out = &out;
+    std::visit([this](const auto& e) { impl_->on(e); }, event);
+    impl_->finish_event();
+}
+
+}  // namespace loftfront
--- /dev/null
+++ b/src/mechanics.h
@@ -0,0 +1,63 @@
+// Arithmetic and counters that the decision module leans on. No decisions.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+
+#include "loftfront/balancer.h"
+
+namespace loftfront {
+
+/// splitmix64: small, fast, and the same on every machine.
+class Random {
+  public:
+    explicit Random(std::uint64_t seed) : state_(seed) {}
+    std::uint64_t next() {
+        std::uint64_t z = (state_ += 0x9e3779b97f4a7c15u);
+        z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+        z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+        return z ^ (z >> 31);
+    }
+    double unit() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }
+    std::size_t below(std::size_t n) { return static_cast<std::size_t>(unit() * static_cast<double>(n)); }
+
+  private:
+    std::uint64_t state_;
+};
+
+inline Duration scaled(Duration d, double by) {
+    return Duration{static_cast<Duration::rep>(static_cast<double>(d.count()) * by)};
+}
+
+inline double ratio(Duration a, Duration b) {
+    return static_cast<double>(a.count()) / static_cast<double>(b.count());
+}
+
+/// Points in time, counted over a window that slides. Add and count with times that don't go back.
+class Window {
+  public:
+    explicit Window(Duration length) : length_(length) {}
+    void add(Time at) {
+        times_.push_back(at);
+        drop_before(at - length_);
+    }
+    void remove(Time at) {
+        const auto it = std::find(times_.begin(), times_.end(), at);
+        if (it != times_.end()) times_.erase(it);
+    }
+    /// How many lie inside the window that ends now; one at its very start is counted where asked.
+    double count(Time now, bool with_start) {
+        drop_before(now - length_);
+        const auto at_start = with_start ? 0 : std::count(times_.begin(), times_.end(), now - length_);
+        return static_cast<double>(static_cast<std::ptrdiff_t>(times_.size()) - at_start);
+    }
+
+  private:
+    void drop_before(Time start) {
+        while (!times_.empty() && times_.front() < start) times_.pop_front();
+    }
+    Duration length_;
+    std::deque<Time> times_;
+};
+
+}  // namespace loftfront
--- /dev/null
+++ b/tests/logic_test.cpp
@@ -0,0 +1,1359 @@
+// The decision module through its interface only: settings, events and simulated time.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <stdexcept>
+
+#include "loftfront/balancer.h"
+
+namespace loftfront {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kTick = 1ms;
+
+RequestClass make_class(Effect effect, Group group = Group::All) {
+    RequestClass result;
+    result.name = "c";
+    result.aim = 1s;
+    result.deadline = 3s;
+    result.effect = effect;
+    result.group = group;
+    result.window = 2s;
+    return result;
+}
+
+Settings plain(Effect effect = Effect::Free, Group group = Group::All) {
+    Settings s;
+    s.tick = kTick;
+    s.classes = {make_class(effect, group)};
+    s.zones = 4;
+    s.kinds = 4;
+    s.limits.max_attempts = 3;
+    s.limits.may_cancel = true;
+    s.limits.second_copies = true;
+    s.rules.answer_slack = 20ms;
+    s.rules.ask_every = 10s;
+    s.rules.drain_grace = 500ms;
+    s.rules.cold_from = 0.2;
+    s.rules.ramp_time = 10s;
+    s.rules.fall_multiple = 3.0;
+    s.rules.tip_after = 1s;
+    return s;
+}
+
+Endpoint server(unsigned id, unsigned cell = 0, unsigned zone = 0) {
+    Endpoint result;
+    result.id = EndpointId{id};
+    result.cell = cell;
+    result.zone = zone;
+    return result;
+}
+
+std::vector<Endpoint> servers(unsigned n) {
+    std::vector<Endpoint> result;
+    for (unsigned i = 1; i <= n; ++i) result.push_back(server(i));
+    return result;
+}
+
+RequestId numbered(RequestId prefix, std::size_t number) {
+    return prefix.append(std::to_string(number));
+}
+
+/// One balancer under a clock that the test moves; timers are kept here and fired when asked.
+class Rig {
+  public:
+    explicit Rig(Settings settings, std::uint64_t seed = 1) : balancer_(settings, seed) {
+        step([&](auto& out) { balancer_.start(now, out); });
+    }
+    template <typename E>
+    std::vector<Action> give(E event) {
+        return step([&](auto& out) { balancer_.handle(now, Event{std::move(event)}, out); });
+    }
+    std::vector<Action> list(std::vector<Endpoint> endpoints,
+                             Discovered::Kind kind = Discovered::Kind::Full) {
+        return give(Discovered{kind, std::make_shared<const EndpointList>(std::move(endpoints))});
+    }
+    std::vector<Action> request(const RequestId& id, Duration left = 3s) {
+        Request request;
+        request.id = id;
+        request.deadline = now + left;
+        return give(request);
+    }
+    std::vector<Action> outcome(const Send& send, Status status, AttemptNumber attempt = 0, bool last = false,
+                                Duration latency = 10ms) {
+        return give(Outcome{send.id, attempt, send.endpoint, status, latency, last, {}});
+    }
+    /// Moves the clock on, firing every timer on the way. Gives back all that was done.
+    std::vector<Action> advance(Duration by) {
+        const Time end = now + by;
+        std::vector<Action> all;
+        while (!timers.empty() && timers.begin()->first <= end) {
+            const auto [at, token] = *timers.begin();
+            timers.erase(timers.begin());
+            now = std::max(now + kTick, at);
+            const auto done = give(TimerFired{token});
+            all.insert(all.end(), done.begin(), done.end());
+        }
+        now = std::max(now, end);
+        return all;
+    }
+
+    Time now{1h};
+    std::multimap<Time, std::uint64_t> timers;
+    std::function<void(const std::vector<Action>&)> watch;  ///< sees the actions at the time they are made
+
+  private:
+    template <typename F>
+    std::vector<Action> step(F&& act) {
+        std::vector<Action> out;
+        act(out);
+        for (const Action& action : out) {
+            if (const auto* timer = std::get_if<SetTimer>(&action)) timers.emplace(timer->at, timer->token);
+        }
+        if (watch) watch(out);
+        return out;
+    }
+    Balancer balancer_;
+};
+
+template <typename A>
+std::vector<A> all_of(const std::vector<Action>& actions) {
+    std::vector<A> result;
+    for (const Action& action : actions) {
+        if (const auto* found = std::get_if<A>(&action)) result.push_back(*found);
+    }
+    return result;
+}
+template <typename A>
+std::optional<A> only(const std::vector<Action>& actions) {
+    const auto found = all_of<A>(actions);
+    EXPECT_LE(found.size(), 1u);
+    return found.empty() ? std::nullopt : std::optional<A>(found.front());
+}
+int answers(const std::vector<Action>& actions) {
+    return static_cast<int>(all_of<Refuse>(actions).size() + all_of<Fail>(actions).size());
+}
+
+// ---- retry budget, backoff, deadline --------------------------------------------------------------
+
+/// Fails first attempts until one is not retried; how many retries were granted.
+int retries_until_dry(Rig& rig, const std::string& prefix) {
+    for (int i = 0; i < 1000; ++i) {
+        const auto send = only<Send>(rig.request(numbered(prefix, i)));
+        if (!send) return -1;
+        const auto after = rig.outcome(*send, Status::Full);
+        if (answers(after) != 0) return i;
+        // A retry that isn't sent costs nothing, and one that is served earns: let it lapse while it is out.
+        const auto retry = only<Send>(rig.advance(400ms));
+        if (!retry) return -1;
+        rig.give(Lapsed{send->id});
+        rig.outcome(*retry, Status::Full, 1, true);
+        rig.now += 3s;  // failures remembered by health fade meanwhile
+    }
+    return 1000;
+}
+
+TEST(RetryBudget, OnlyServedCallsEarnWhatRetriesSpend) {
+    Rig rig(plain());
+    rig.list(servers(4));
+    const int full = retries_until_dry(rig, "a");
+    EXPECT_GT(full, 0);
+    EXPECT_LE(full, 10);
+    EXPECT_EQ(retries_until_dry(rig, "b"), 0);  // failures earn nothing
+    for (int i = 0; i < 9; ++i) rig.outcome(*only<Send>(rig.request(numbered("s", i))), Status::Ok, 0, true);
+    const int early = retries_until_dry(rig, "c");
+    for (int i = 0; i < 10; ++i) rig.outcome(*only<Send>(rig.request(numbered("t", i))), Status::Ok, 0, true);
+    const int later = retries_until_dry(rig, "d");
+    EXPECT_EQ(early + later, 1);  // 19 served calls at the cost of ten a retry
+}
+
+TEST(RetryBudget, CapacityBoundsWhatManySuccessesEarn) {
+    Rig rig(plain());
+    rig.list(servers(4));
+    for (int i = 0; i < 2000; ++i)
+        rig.outcome(*only<Send>(rig.request(numbered("s", i))), Status::Ok, 0, true);
+    EXPECT_LE(retries_until_dry(rig, "a"), 10);
+}
+
+TEST(Backoff, WaitsKeepDecorrelatedJitterAndDiffer) {
+    std::set<Duration> waits;
+    for (std::uint64_t seed = 0; seed < 50; ++seed) {
+        Rig rig(plain(), seed);
+        rig.list(servers(4));
+        const auto first = only<Send>(rig.request("a"));
+        const auto timer = only<SetTimer>(rig.outcome(*first, Status::Error));
+        ASSERT_TRUE(timer);
+        const Duration wait = timer->at - rig.now;
+        EXPECT_GT(wait, 0ms);
+        EXPECT_LE(wait, 300ms);  // at most three times the base
+        waits.insert(wait);
+    }
+    EXPECT_GT(waits.size(), 40u);
+}
+
+TEST(Deadline, NoAttemptStartsInsideTheBuffer) {
+    Rig rig(plain());
+    rig.list(servers(4));
+    const auto send = only<Send>(rig.request("a", 400ms));
+    ASSERT_TRUE(send);
+    rig.now += 399ms;
+    const auto after = rig.outcome(*send, Status::Error);
+    EXPECT_TRUE(all_of<Send>(after).empty());
+    EXPECT_EQ(answers(after), 1);
+}
+
+TEST(Deadline, AlreadyPastGetsItsAnswerAtOnce) {
+    Rig rig(plain());
+    rig.list({});
+    EXPECT_EQ(answers(rig.request("a", -5ms)), 1);
+}
+
+TEST(Attempts, StopAtTheToldLimitAndGoElsewhere) {
+    Rig rig(plain());
+    rig.list(servers(6));
+    std::set<EndpointId> met;
+    auto send = only<Send>(rig.request("a"));
+    std::vector<Action> after;
+    AttemptNumber attempt = 0;
+    while (send) {
+        EXPECT_TRUE(met.insert(send->endpoint).second) << "a retry goes elsewhere";
+        after = rig.outcome(*send, Status::Full, attempt++);
+        if (answers(after) == 0) after = rig.advance(1s);
+        send = only<Send>(after);
+    }
+    EXPECT_LE(attempt, 3u);
+    EXPECT_EQ(answers(after), 1);
+}
+
+// ---- what a class may repeat or refuse ------------------------------------------------------------
+
+struct Repeat {
+    const char* name;
+    Effect effect;
+    Status status;
+    bool may_repeat;
+    bool may_refuse;
+};
+class EachOutcome : public testing::TestWithParam<Repeat> {};
+
+TEST_P(EachOutcome, IsRepeatedAndAnsweredAsItsClassAllows) {
+    const Repeat& c = GetParam();
+    Settings settings = plain(c.effect, Group::Cell);
+    Rig rig(settings);
+    rig.list(servers(4));
+    const auto send = only<Send>(rig.request("a"));
+    ASSERT_TRUE(send);
+    auto after = rig.outcome(*send, c.status);
+    const auto later = rig.advance(1s);
+    after.insert(after.end(), later.begin(), later.end());
+    EXPECT_EQ(!all_of<Send>(after).empty(), c.may_repeat);
+    // The end of the same story with no attempt left: refused only where that is harmless.
+    settings.limits.max_attempts = 1;
+    Rig once(settings);
+    once.list(servers(4));
+    const auto end = once.outcome(*only<Send>(once.request("a")), c.status);
+    EXPECT_EQ(all_of<Refuse>(end).size(), c.may_refuse ? 1u : 0u);
+    EXPECT_EQ(all_of<Fail>(end).size(), c.may_refuse ? 0u : 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Classes, EachOutcome,
+    testing::Values(Repeat{"FreeError", Effect::Free, Status::Error, true, true},
+                    Repeat{"FreeTimeout", Effect::Free, Status::Timeout, true, true},
+                    Repeat{"FreeReset", Effect::Free, Status::Reset, true, true},
+                    Repeat{"FreeFull", Effect::Free, Status::Full, true, true},
+                    Repeat{"GuardedError", Effect::Guarded, Status::Error, true, false},
+                    Repeat{"GuardedTimeout", Effect::Guarded, Status::Timeout, true, false},
+                    Repeat{"GuardedReset", Effect::Guarded, Status::Reset, true, false},
+                    Repeat{"GuardedFull", Effect::Guarded, Status::Full, true, true},
+                    Repeat{"UnsafeError", Effect::SingleShot, Status::Error, false, false},
+                    Repeat{"UnsafeTimeout", Effect::SingleShot, Status::Timeout, false, false},
+                    Repeat{"UnsafeReset", Effect::SingleShot, Status::Reset, false, false},
+                    Repeat{"UnsafeFull", Effect::SingleShot, Status::Full, true, true},
+                    Repeat{"UnsafeNoConnection", Effect::SingleShot, Status::ConnectFailed, true, true}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(Guarded, StaysInTheCellZoneOrAnywhereAsItsGroupSays) {
+    for (const Group group : {Group::All, Group::Zone, Group::Cell}) {
+        std::set<unsigned> met;
+        for (std::uint64_t seed = 0; seed < 60; ++seed) {
+            Rig rig(plain(Effect::Guarded, group), seed);
+            // Cells 1 to 4, zones 1 and 2; two servers a cell.
+            std::vector<Endpoint> all;
+            for (unsigned i = 0; i < 8; ++i) all.push_back(server(10 + i, 1 + i / 2, 1 + i / 4));
+            rig.list(all);
+            const auto first = only<Send>(rig.request("a"));
+            rig.outcome(*first, Status::Error);
+            const auto second = only<Send>(rig.advance(1s));
+            ASSERT_TRUE(second);
+            const unsigned a = static_cast<unsigned>(first->endpoint) - 10,
+                           b = static_cast<unsigned>(second->endpoint) - 10;
+            EXPECT_NE(a, b);
+            if (group == Group::Cell) {
+                EXPECT_EQ(a / 2, b / 2);
+            }
+            if (group == Group::Zone) {
+                EXPECT_EQ(a / 4, b / 4);
+            }
+            if (a / 4 != b / 4) met.insert(b);
+        }
+        EXPECT_EQ(met.empty(), group != Group::All);
+    }
+}
+
+TEST(Guarded, IsNotRepeatedPastTheWindow) {
+    Settings settings = plain(Effect::Guarded, Group::All);
+    settings.classes[0].deadline = 10s;
+    Rig rig(settings);
+    rig.list(servers(4));
+    const auto send = only<Send>(rig.request("a", 10s));
+    rig.now += 2s + 1ms;
+    auto after = rig.outcome(*send, Status::Error);
+    const auto later = rig.advance(9s);
+    after.insert(after.end(), later.begin(), later.end());
+    EXPECT_TRUE(all_of<Send>(after).empty());
+    EXPECT_EQ(answers(after), 1);
+}
+
+TEST(Guarded, CellIsRememberedAfterTheListDropsItsServer) {
+    Rig rig(plain(Effect::Guarded, Group::Cell));
+    rig.list({server(1, 7)});
+    const auto send = only<Send>(rig.request("a"));
+    rig.list({server(2, 7), server(3, 8), server(4, 8)});
+    rig.outcome(*send, Status::Reset);
+    const auto again = only<Send>(rig.advance(1s));
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->endpoint, EndpointId{2});
+}
+
+// ---- one final answer -----------------------------------------------------------------------------
+
+TEST(Answer, NoServerKnownIsHeldThenServedOrRefusedOnceInTime) {
+    Rig rig(plain());
+    EXPECT_EQ(answers(rig.request("a")), 0);
+    EXPECT_EQ(all_of<Send>(rig.list(servers(1))).size(), 1u);
+    Rig none(plain());
+    none.request("a");
+    EXPECT_EQ(answers(none.advance(3s)), 1);
+}
+
+TEST(Answer, TimeoutAtTheDeadlineIsAnsweredOnce) {
+    Rig rig(plain(Effect::SingleShot));
+    rig.list(servers(2));
+    const auto send = only<Send>(rig.request("a", 500ms));
+    rig.now += 500ms;
+    EXPECT_EQ(answers(rig.outcome(*send, Status::Timeout)), 1);
+    EXPECT_EQ(answers(rig.outcome(*send, Status::Timeout)), 0);
+    EXPECT_EQ(answers(rig.advance(5s)), 0);
+}
+
+TEST(Answer, LapsedLateRepeatedAndUnknownEventsArePassedOver) {
+    Rig rig(plain());
+    rig.list(servers(2));
+    const auto send = only<Send>(rig.request("a"));
+    rig.give(Lapsed{"a"});
+    EXPECT_TRUE(rig.outcome(*send, Status::Error).empty());
+    EXPECT_TRUE(rig.outcome(*send, Status::Error).empty());
+    EXPECT_TRUE(rig.give(Lapsed{"never"}).empty());
+    EXPECT_TRUE(rig.give(TimerFired{123456}).empty());
+    EXPECT_TRUE(rig.give(FirstByte{"never", 0, EndpointId{1}, 1ms}).empty());
+    EXPECT_TRUE(rig.give(ProbeResult{EndpointId{99}, Status::Ok, 1ms, {}}).empty());
+    EXPECT_TRUE(rig.give(PeerMessage{3, "x"}).empty());
+    EXPECT_TRUE(rig.give(Outcome{"never", 0, EndpointId{1}, Status::Error, 1ms, false, {}}).empty());
+    const auto next = only<Send>(rig.request("b"));
+    EXPECT_TRUE(rig.give(Outcome{"b", 9, next->endpoint, Status::Error, 1ms, false, {}}).empty());
+    EXPECT_TRUE(rig.give(Discovered{Discovered::Kind::Full, nullptr}).empty());
+}
+
+TEST(Answer, HeldIdIsNotTakenTwice) {
+    Rig rig(plain());
+    rig.list(servers(2));
+    EXPECT_EQ(all_of<Send>(rig.request("a")).size(), 1u);
+    EXPECT_TRUE(rig.request("a").empty());
+}
+
+TEST(Answer, OutlivedTimerDoesNotCutALaterWaitShort) {
+    // Held for want of a server until near its end, then sent and failed: only the retry's own timer counts.
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        Rig rig(plain(), seed);
+        const auto hold = only<SetTimer>(rig.request("a", 400ms));
+        ASSERT_TRUE(hold);
+        rig.now += 200ms;
+        const auto send = only<Send>(rig.list(servers(3)));
+        ASSERT_TRUE(send);
+        const auto retry = only<SetTimer>(rig.outcome(*send, Status::Full));
+        ASSERT_TRUE(retry);
+        ASSERT_LE(retry->at, hold->at);
+        rig.now = retry->at - 50ms;
+        EXPECT_TRUE(rig.give(TimerFired{hold->token}).empty()) << "fired before the wait was over";
+    }
+}
+
+TEST(Answer, OneServerGetsTheRetryToo) {
+    Rig rig(plain());
+    rig.list(servers(1));
+    rig.outcome(*only<Send>(rig.request("a")), Status::Error);
+    EXPECT_EQ(all_of<Send>(rig.advance(1s)).size(), 1u);
+}
+
+// ---- order by key ---------------------------------------------------------------------------------
+
+Settings ordered(Duration turn_gap = {}) {
+    Settings s = plain();
+    s.classes[0].sequential = true;
+    s.classes.push_back(make_class(Effect::SingleShot));
+    s.classes[1].sequential = true;
+    s.classes.push_back(make_class(Effect::Free));  // a class that keeps no order
+    s.rules.turn_gap = turn_gap;
+    return s;
+}
+std::vector<Action> keyed(Rig& rig, const RequestId& id, std::optional<std::uint64_t> key,
+                          std::uint32_t class_index = 0, Duration left = 3s) {
+    Request request;
+    request.id = id;
+    request.class_index = class_index;
+    request.deadline = rig.now + left;
+    request.key = key;
+    return rig.give(request);
+}
+
+TEST(Order, OneKeyRunsInTurnOverAllSequentialClassesAndOthersAreNotBound) {
+    Rig rig(ordered());
+    rig.list(servers(4));
+    const auto a = only<Send>(keyed(rig, "a", 7));
+    ASSERT_TRUE(a);
+    EXPECT_FALSE(only<Send>(keyed(rig, "b", 7, 1)));
+    EXPECT_FALSE(only<Send>(keyed(rig, "c", 7, 0)));
+    EXPECT_TRUE(only<Send>(keyed(rig, "other key", 8)));
+    EXPECT_TRUE(only<Send>(keyed(rig, "no key", std::nullopt)));
+    EXPECT_TRUE(only<Send>(keyed(rig, "free class", 7, 2)));
+    const auto b = only<Send>(rig.outcome(*a, Status::Ok, 0, true));
+    ASSERT_TRUE(b);
+    EXPECT_EQ(b->id, "b");
+    const auto c = only<Send>(rig.outcome(*b, Status::Error, 0));  // unsafe: failed, and so over
+    ASSERT_TRUE(c);
+    EXPECT_EQ(c->id, "c");
+}
+
+TEST(Order, RequestThatWaitsForItsRetryKeepsTheTurn) {
+    Rig rig(ordered());
+    rig.list(servers(4));
+    const auto a = only<Send>(keyed(rig, "a", 7));
+    keyed(rig, "b", 7);
+    EXPECT_FALSE(only<Send>(rig.outcome(*a, Status::Error)));
+    const auto again = only<Send>(rig.advance(400ms));
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->id, "a");
+    EXPECT_EQ(only<Send>(rig.outcome(*again, Status::Ok, 1, true))->id, "b");
+}
+
+TEST(Order, AttemptThatOutlivesItsRequestStillBlocks) {
+    Rig rig(ordered());
+    rig.list(servers(4));
+    const auto a = only<Send>(keyed(rig, "a", 7));
+    keyed(rig, "b", 7);
+    EXPECT_FALSE(only<Send>(rig.give(Lapsed{"a"})));
+    EXPECT_FALSE(only<Send>(rig.advance(200ms)));
+    EXPECT_EQ(only<Send>(rig.outcome(*a, Status::Error, 0, true))->id, "b");
+}
+
+TEST(Order, KeyRestsAfterAnAttemptThatMayStillRun) {
+    for (const Status status : {Status::Timeout, Status::Reset, Status::Cancelled}) {
+        Rig rig(ordered(300ms));
+        rig.list(servers(4));
+        const auto a = only<Send>(keyed(rig, "a", 7, 1));
+        keyed(rig, "b", 7, 1);
+        EXPECT_FALSE(only<Send>(rig.outcome(*a, status)));
+        EXPECT_FALSE(only<Send>(rig.advance(299ms)));
+        EXPECT_EQ(only<Send>(rig.advance(2ms))->id, "b");
+    }
+    // With nobody waiting the rest still binds who comes meanwhile, and nobody who comes later.
+    Rig rig(ordered(300ms));
+    rig.list(servers(4));
+    rig.outcome(*only<Send>(keyed(rig, "a", 7, 1)), Status::Reset);
+    EXPECT_FALSE(only<Send>(keyed(rig, "b", 7, 1)));
+    const auto b = only<Send>(rig.advance(301ms));
+    ASSERT_TRUE(b);
+    rig.outcome(*b, Status::Reset);
+    rig.advance(301ms);
+    EXPECT_TRUE(only<Send>(keyed(rig, "c", 7, 1)));
+    // An outcome that ends the work needs no rest.
+    Rig none(ordered(300ms));
+    none.list(servers(4));
+    const auto first = only<Send>(keyed(none, "a", 7, 1));
+    keyed(none, "b", 7, 1);
+    EXPECT_TRUE(only<Send>(none.outcome(*first, Status::Error)));
+}
+
+TEST(Order, QueuedRequestThatCannotBeInTimeIsRefusedInTimeAndLeavesTheQueue) {
+    Rig rig(ordered());
+    rig.list(servers(4));
+    const auto a = only<Send>(keyed(rig, "a", 7));
+    keyed(rig, "b", 7, 1, 500ms);
+    keyed(rig, "c", 7);
+    const auto waited = rig.advance(500ms);
+    ASSERT_EQ(all_of<Refuse>(waited).size(), 1u);  // it never ran, so even an unsafe one is refused
+    EXPECT_EQ(all_of<Refuse>(waited)[0].id, "b");
+    EXPECT_EQ(only<Send>(rig.outcome(*a, Status::Ok, 0, true))->id, "c");
+}
+
+TEST(Order, LapsedInTheQueueDoesNotWedgeIt) {
+    Rig rig(ordered());
+    rig.list(servers(4));
+    const auto a = only<Send>(keyed(rig, "a", 7));
+    for (const char* id : {"b", "c", "d"}) keyed(rig, id, 7);
+    rig.give(Lapsed{"c"});
+    const auto b = only<Send>(rig.outcome(*a, Status::Ok, 0, true));
+    ASSERT_TRUE(b);
+    rig.give(Lapsed{"b"});
+    EXPECT_EQ(only<Send>(rig.outcome(*b, Status::Timeout, 0, true))->id, "d");
+}
+
+TEST(Order, QueueHeldForWantOfAServerKeepsItsOrder) {
+    Rig rig(ordered());
+    keyed(rig, "a", 7);
+    keyed(rig, "b", 7);
+    const auto a = only<Send>(rig.list(servers(2)));
+    ASSERT_TRUE(a);
+    EXPECT_EQ(a->id, "a");
+}
+
+// ---- ration of attempts ---------------------------------------------------------------------------
+
+/// Takes so many requests and lets each first attempt fail; how many further attempts went out at once.
+int further_attempts(Rig& rig, const std::string& prefix, int requests) {
+    for (int i = 0; i < requests; ++i) {
+        const auto send = only<Send>(rig.request(numbered(prefix, i)));
+        if (send) rig.outcome(*send, Status::Error);
+    }
+    return static_cast<int>(all_of<Send>(rig.advance(310ms)).size());
+}
+Settings rationed(double floor, double ratio, Duration look_back = 2s) {
+    Settings s = plain();
+    s.rules.attempt_budget = {floor, ratio, look_back};
+    s.limits.max_attempts = 2;
+    return s;
+}
+
+TEST(Ration, BindsAtItsExactEdge) {
+    Rig floor_only(rationed(2, 0.0));
+    floor_only.list(servers(8));
+    EXPECT_EQ(further_attempts(floor_only, "a", 5), 2);
+    Rig share(rationed(0, 0.5));
+    share.list(servers(8));
+    EXPECT_EQ(further_attempts(share, "a", 5), 2);  // 2.5 allowed
+    Rig exact(rationed(1, 0.5));
+    exact.list(servers(8));
+    EXPECT_EQ(further_attempts(exact, "a", 4), 3);
+    Rig none(rationed(0, 0.0));
+    none.list(servers(8));
+    EXPECT_EQ(further_attempts(none, "a", 5), 0);
+    Rig absent(plain());
+    absent.list(servers(8));
+    EXPECT_EQ(further_attempts(absent, "a", 5), 5);
+}
+
+TEST(Ration, WindowSlidesAndAQuietInstanceHasItsFloor) {
+    Rig rig(rationed(1, 0.0));
+    rig.list(servers(8));
+    EXPECT_EQ(further_attempts(rig, "a", 2), 1);
+    const auto held_back = all_of<Send>(rig.advance(1500ms));
+    EXPECT_TRUE(held_back.empty());  // within the window of the first
+    rig.now += 10s;
+    EXPECT_EQ(further_attempts(rig, "b", 2), 1);
+}
+
+TEST(Ration, MootOnesDoNotCount) {
+    Rig rig(rationed(1, 0.0));
+    rig.list(servers(8));
+    rig.outcome(*only<Send>(rig.request("a")), Status::Full);
+    const auto again = only<Send>(rig.advance(310ms));
+    ASSERT_TRUE(again);
+    rig.outcome(*again, Status::Moot, 1, true);
+    rig.outcome(*only<Send>(rig.request("b")), Status::Full);
+    EXPECT_EQ(all_of<Send>(rig.advance(310ms)).size(), 1u);
+}
+
+TEST(Ration, RetryThatIsNotSentCostsNoTokens) {
+    // Held retries whose clients leave give their tokens back: the bucket holds ten retries, here fifty
+    // lapse.
+    Rig rig(plain());
+    rig.list(servers(8));
+    for (int i = 0; i < 50; ++i) {
+        const auto send = only<Send>(rig.request(numbered("a", i)));
+        ASSERT_TRUE(send);
+        EXPECT_EQ(answers(rig.outcome(*send, Status::Error)), 0) << i;
+        rig.give(Lapsed{send->id});
+        rig.now += 3s;
+    }
+}
+
+// ---- discovery ------------------------------------------------------------------------------------
+
+TEST(Discovery, NothingNewGoesToDrainingGoneOrReplacedServers) {
+    Rig rig(plain());
+    rig.list(servers(3));
+    Endpoint draining = server(1), gone = server(2);
+    draining.availability = Availability::Draining;
+    gone.availability = Availability::Gone;
+    rig.list({draining, gone}, Discovered::Kind::Delta);
+    for (int i = 0; i < 30; ++i) {
+        const auto send = only<Send>(rig.request(numbered("a", i)));
+        ASSERT_TRUE(send);
+        EXPECT_EQ(send->endpoint, EndpointId{3});
+        rig.outcome(*send, Status::Ok, 0, true);
+    }
+    rig.list({server(4)}, Discovered::Kind::Cached);
+    const auto send = only<Send>(rig.request("b"));
+    ASSERT_TRUE(send);
+    EXPECT_EQ(send->endpoint, EndpointId{4});
+}
+
+TEST(Discovery, DeltaKeepsWhatItDoesNotName) {
+    Rig rig(plain());
+    rig.list(servers(1));
+    rig.list({server(9)}, Discovered::Kind::Delta);
+    std::set<EndpointId> met;
+    for (int i = 0; i < 40; ++i) met.insert(only<Send>(rig.request(numbered("a", i)))->endpoint);
+    EXPECT_EQ(met, (std::set<EndpointId>{EndpointId{1}, EndpointId{9}}));
+}
+
+TEST(Discovery, SubscribesWhereItMustAskAndAgainAfterAFailure) {
+    Settings settings = plain();
+    settings.subscribe = true;
+    Rig rig(settings);
+    EXPECT_EQ(all_of<Subscribe>(rig.advance(10s)).size(), 1u);
+    rig.list(servers(2));
+    const auto failed = rig.give(Discovered{Discovered::Kind::Failed, nullptr});
+    EXPECT_EQ(all_of<Send>(rig.request("a")).size(), 1u);  // the old list stands
+    EXPECT_EQ(all_of<SetTimer>(failed).size(), 1u);
+    EXPECT_EQ(all_of<Subscribe>(rig.advance(10s)).size(), 1u);
+    Rig pushed(plain());
+    EXPECT_TRUE(all_of<Subscribe>(pushed.advance(60s)).empty());
+}
+
+TEST(Discovery, AnInstanceToldNothingAsksInTimeAndKeepsAsking) {
+    // Guards against: being treated as told of drains that it never asked about.
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        Settings settings = plain();
+        settings.subscribe = true;
+        Rig rig(settings, seed);
+        ASSERT_EQ(all_of<Subscribe>(rig.advance(settings.rules.ask_every / 2)).size(), 1u);
+        for (int failures = 0; failures < 10; ++failures) {
+            rig.give(Discovered{Discovered::Kind::Failed, nullptr});
+            ASSERT_EQ(all_of<Subscribe>(rig.advance(settings.rules.ask_every)).size(), 1u) << failures;
+        }
+    }
+}
+
+TEST(Discovery, EmptyListHoldsRequests) {
+    Rig rig(plain());
+    rig.list({});
+    EXPECT_TRUE(all_of<Send>(rig.request("a")).empty());
+    EXPECT_EQ(answers(rig.advance(4s)), 1);
+}
+
+// ---- cold servers ---------------------------------------------------------------------------------
+
+TEST(Cold, AloneItStillServes) {
+    Rig rig(plain());
+    Endpoint cold = server(1);
+    cold.started = rig.now;
+    rig.list({cold});
+    auto done = rig.request("a");
+    const auto later = rig.advance(2900ms);
+    done.insert(done.end(), later.begin(), later.end());
+    EXPECT_EQ(all_of<Send>(done).size(), 1u);
+}
+
+TEST(Cold, AmongWarmOnesItGetsAtMostItsShare) {
+    Rig rig(plain());
+    auto all = servers(9);
+    all.push_back(server(10));
+    all.back().started = rig.now;
+    rig.list(all);
+    int cold = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const auto send = only<Send>(rig.request(numbered("a", i)));
+        if (send->endpoint == EndpointId{10}) ++cold;
+        rig.outcome(*send, Status::Ok, 0, true);
+        rig.now += 1ms;
+    }
+    EXPECT_LT(cold, 60);  // a warm one's share is 100, and it has a fifth to a quarter of their capacity
+}
+
+TEST(Cold, NoWindowHoldsMoreWorkThanTheToldMultipleHeavyCallsToo) {
+    // Ten servers at half their capacity, a hundred calls a second; every tenth call is five times as heavy.
+    const Settings settings = plain();
+    const double warm_capacity = 2.0 * 10.0 * (0.9 * 0.05 + 0.1 * 0.25);  // work a second of one server
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        Rig rig(settings, seed);
+        auto all = servers(10);
+        const Time started = rig.now;
+        all.back().started = started;
+        rig.list(all);
+        std::deque<std::pair<Time, double>> window;
+        double held = 0.0;
+        int met = 0;
+        for (int i = 0; i < 1000; ++i) {
+            const auto send = only<Send>(rig.request(numbered("a", i)));
+            ASSERT_TRUE(send);
+            if (send->endpoint == EndpointId{10}) {
+                window.emplace_back(rig.now, i % 10 == 0 ? 0.25 : 0.05);
+                held += window.back().second;
+                ++met;
+            }
+            while (!window.empty() && window.front().first <= rig.now - settings.rules.tip_after) {
+                held -= window.front().second;
+                window.pop_front();
+            }
+            const double age = std::chrono::duration<double>(rig.now - started).count() / 10.0;
+            const double share = settings.rules.cold_from + (1.0 - settings.rules.cold_from) * age;
+            ASSERT_LE(held, settings.rules.fall_multiple * share * warm_capacity) << "at call " << i;
+            rig.outcome(*send, Status::Ok, 0, true, 50ms);
+            rig.now += 10ms;
+        }
+        EXPECT_GT(met, 10) << "it is eased in, not left out";
+    }
+}
+
+TEST(Cold, IsNotPushedOverWhileTheRestAreFull) {
+    // Guards against: the idle-looking cold server takes every retry that the full ones turn away.
+    Settings settings = plain();
+    settings.limits.max_attempts = 1;
+    Rig rig(settings);
+    auto all = servers(4);
+    all.back().started = rig.now;
+    rig.list(all);
+    int cold = 0;
+    for (int i = 0; i < 300; ++i) {
+        const auto send = only<Send>(rig.request(numbered("a", i)));
+        if (!send) continue;  // shed
+        if (send->endpoint == EndpointId{4}) ++cold;
+        rig.outcome(*send, Status::Full, 0, true);
+        rig.now += 3ms;
+    }
+    EXPECT_LE(cold, 1);  // nothing was served, so nothing was earned
+}
+
+// ---- reach ----------------------------------------------------------------------------------------
+
+std::set<EndpointId> met_at_low_rate(const Settings& settings, const std::vector<Endpoint>& list) {
+    Rig rig(settings);
+    rig.list(list);
+    std::set<EndpointId> met;
+    for (int i = 0; i < 200; ++i) {
+        const auto send = only<Send>(rig.request(numbered("a", i)));
+        met.insert(send->endpoint);
+        rig.outcome(*send, Status::Ok, 0, true);
+        rig.now += 50ms;
+    }
+    return met;
+}
+
+TEST(Reach, ReplicasUseStablePartsThatTogetherCoverTheFleet) {
+    // Guards against: replicas x servers connections, more than the servers accept.
+    Settings settings = plain();
+    settings.replicas = 40;
+    std::set<EndpointId> all;
+    for (std::uint32_t i = 0; i < 40; ++i) {
+        settings.position = i;
+        const auto met = met_at_low_rate(settings, servers(60));
+        EXPECT_LE(met.size(), 8u);
+        EXPECT_GE(met.size(), 2u);
+        EXPECT_EQ(met, met_at_low_rate(settings, servers(60)));
+        all.insert(met.begin(), met.end());
+    }
+    EXPECT_EQ(all.size(), 60u);
+}
+
+TEST(Reach, GrowsWithTheCallsOut) {
+    // Guards against: a hot instance crowds the few servers of its part.
+    Settings settings = plain();
+    settings.replicas = 40;
+    Rig rig(settings);
+    rig.list(servers(60));
+    // Served in step until the rate is known, then more and more at once.
+    for (int i = 0; i < 50; ++i) rig.outcome(*only<Send>(rig.request(numbered("w", i))), Status::Ok, 0, true);
+    std::set<EndpointId> met;
+    for (int i = 0; i < 40; ++i) {
+        if (const auto send = only<Send>(rig.request(numbered("a", i)))) met.insert(send->endpoint);
+    }
+    EXPECT_GE(met.size(), 20u);
+}
+
+// ---- server view ----------------------------------------------------------------------------------
+
+/// How many of 200 calls, one after another, meet server 1 when it answers so and the rest serve in 100 ms.
+int calls_to_odd_server(Status status, Duration latency) {
+    Rig rig(plain());
+    rig.list(servers(4));
+    int met = 0;
+    for (int i = 0; i < 200; ++i) {
+        const auto send = only<Send>(rig.request(numbered("a", i)));
+        if (!send) continue;
+        const bool odd = send->endpoint == EndpointId{1};
+        met += odd ? 1 : 0;
+        rig.now += odd ? latency : 100ms;
+        rig.outcome(*send, odd ? status : Status::Ok, 0, true, odd ? latency : 100ms);
+    }
+    return met;
+}
+
+TEST(View, FastFailingAndSlowServersGetLessThanTheirShare) {
+    // Guards against: an empty server keeps winning draws while it fails fast or crawls. A share is 50.
+    EXPECT_LT(calls_to_odd_server(Status::Error, 1ms), 15);
+    EXPECT_LT(calls_to_odd_server(Status::Timeout, 1s), 15);
+    EXPECT_LT(calls_to_odd_server(Status::Ok, 600ms), 20);
+    EXPECT_GT(calls_to_odd_server(Status::Ok, 100ms), 30);
+}
+
+TEST(View, ToldSizeWeighsTheCallsInFlight) {
+    // Guards against: servers of half the size held as full as the others.
+    Rig rig(plain());
+    auto list = servers(4);
+    for (auto& endpoint : list) endpoint.weight = endpoint.id == EndpointId{1} ? 1.0 : 3.0;
+    rig.list(list);
+    std::map<EndpointId, int> met;
+    for (int i = 0; i < 12; ++i) {
+        if (const auto send = only<Send>(rig.request(numbered("a", i)))) ++met[send->endpoint];
+    }
+    EXPECT_LE(met[EndpointId{1}], 2);  // a share by calls alone is 3
+    list[0].weight = 0.0;              // no size told is no reason to divide by it
+    rig.list(list);
+    EXPECT_TRUE(only<Send>(rig.request("b")));
+}
+
+TEST(View, IsForgottenInTime) {
+    Rig rig(plain());
+    rig.list(servers(2));
+    for (int i = 0; i < 30; ++i) {
+        const auto send = only<Send>(rig.request(numbered("a", i)));
+        const bool odd = send->endpoint == EndpointId{1};
+        rig.outcome(*send, odd ? Status::Error : Status::Ok, 0, true, 100ms);
+    }
+    rig.now += 2min;
+    int met = 0;
+    for (int i = 0; i < 100; ++i) {
+        const auto send = only<Send>(rig.request(numbered("b", i)));
+        met += send->endpoint == EndpointId{1} ? 1 : 0;
+        rig.outcome(*send, Status::Ok, 0, true, 100ms);
+    }
+    EXPECT_GT(met, 10);
+}
+
+TEST(Silence, ServerWithAnOverdueCallGetsLessBeforeAnyAnswer) {
+    // Guards against: a server that stands still or vanished; there is no answer to go by.
+    Rig rig(plain());
+    rig.list(servers(2));
+    for (int i = 0; i < 20; ++i) {
+        rig.outcome(*only<Send>(rig.request(numbered("w", i))), Status::Ok, 0, true, 100ms);
+        rig.now += 100ms;
+    }
+    const auto stuck = only<Send>(rig.request("stuck"));
+    rig.now += 1s;  // ten times the usual
+    int met = 0;
+    for (int i = 0; i < 40; ++i) {
+        const auto send = only<Send>(rig.request(numbered("a", i)));
+        ASSERT_TRUE(send);
+        met += send->endpoint == stuck->endpoint ? 1 : 0;
+        rig.outcome(*send, Status::Ok, 0, true, 100ms);
+    }
+    EXPECT_EQ(met, 0);
+}
+
+// ---- connections ----------------------------------------------------------------------------------
+
+/// Sends calls a second apart to one server, all idle connections being dead or none: how often connections
+/// were closed before use. A call on a connection that is fresh, or was closed and opened anew, is served.
+int closes_in_calls(int calls, bool idle_is_dead, bool all_silent = false) {
+    Settings settings = plain();
+    settings.limits.connection_idle = 15s;
+    Rig rig(settings);
+    rig.list(servers(1));
+    int closes = 0;
+    bool idle = false;  // there is one
+    for (int i = 0; i < calls; ++i) {
+        const auto done = rig.request(numbered("a", i), 500ms);
+        const auto send = only<Send>(done);
+        if (!send) continue;  // shed
+        const bool closed = !all_of<ShutIdle>(done).empty();
+        closes += closed ? 1 : 0;
+        const bool silent = all_silent || (idle_is_dead && idle && !closed);
+        rig.now += silent ? 500ms : 20ms;
+        rig.outcome(*send, silent ? Status::Timeout : Status::Ok, 0, !silent, silent ? 500ms : 20ms);
+        idle = !silent;
+        rig.now += 1s;
+    }
+    return closes;
+}
+
+TEST(Connections, IdleOnesThatMeetSilenceAreClosedBeforeUse) {
+    // Guards against: connections dropped unseen on the way; what is sent on one gets no answer.
+    EXPECT_GT(closes_in_calls(60, true), 20);
+    EXPECT_EQ(closes_in_calls(60, false), 0);
+}
+
+TEST(Connections, AreKeptWhereFreshOnesMeetSilenceToo) {
+    // A server that stands still is no matter of connections: closing them would only cost handshakes.
+    EXPECT_EQ(closes_in_calls(60, false, true), 0);
+}
+
+// ---- load shedding and doomed work ----------------------------------------------------------------
+
+TEST(Shedding, CrowdedInstanceDeclinesTheLeastWorthFirstAndRecovers) {
+    // Guards against: servers fill and stay slow, since nothing is declined before they decline it
+    // themselves.
+    Settings settings = plain();
+    settings.classes.push_back(settings.classes[0]);
+    settings.classes[1].worth = 10.0;
+    Rig rig(settings);
+    rig.list(servers(4));
+    const auto ask = [&](const RequestId& id, std::uint32_t index) {
+        return keyed(rig, id, std::nullopt, index);
+    };
+    for (int i = 0; i < 60; ++i) {
+        for (std::uint32_t index : {0u, 1u}) {
+            const auto send = only<Send>(ask(numbered(index ? "w" : "v", i), index));
+            if (!send) continue;
+            rig.now += 100ms;
+            rig.outcome(*send, Status::Ok, 0, true, i < 30 ? 100ms : 600ms);
+        }
+    }
+    int low = 0, high = 0;
+    for (int i = 0; i < 50; ++i) {
+        for (std::uint32_t index : {0u, 1u}) {
+            const auto done = ask(numbered(index ? "y" : "x", i), index);
+            (index ? high : low) += static_cast<int>(all_of<Refuse>(done).size());
+            if (const auto send = only<Send>(done)) rig.outcome(*send, Status::Ok, 0, true, 600ms);
+        }
+        rig.now += 100ms;
+    }
+    EXPECT_GT(low, 25);
+    EXPECT_LT(high, low / 2);
+    rig.now += 60s;
+    EXPECT_EQ(all_of<Send>(ask("z", 0)).size(), 1u);
+}
+
+TEST(Shedding, CountOfCallsOutIsTrustedOnceCallsAreSeenToWait) {
+    // Guards against: a jam that shows in answers only seconds late; and a calm day taken for one.
+    for (const Duration latency : {100ms, 500ms}) {
+        Rig rig(plain());
+        rig.list(servers(8));
+        for (int i = 0; i < 40; ++i) {
+            const auto send = only<Send>(rig.request(numbered("w", i)));
+            ASSERT_TRUE(send) << "what waits alone is not shed: it is worth the most";
+            rig.now += i < 5 ? 100ms : latency;
+            rig.outcome(*send, Status::Ok, 0, true, i < 5 ? 100ms : latency);
+        }
+        int sent = 0;
+        for (int i = 0; i < 3; ++i)
+            sent += static_cast<int>(all_of<Send>(rig.request(numbered("a", i))).size());
+        EXPECT_EQ(sent == 3, latency == 100ms) << sent;
+    }
+}
+
+TEST(Doomed, CallOfAnInnerTierThatCannotBeInTimeIsDeclinedAtOnce) {
+    // Guards against: a jam in which slots above are held for calls whose answers nobody wants any more.
+    Settings settings = plain(Effect::SingleShot);
+    settings.tiers = 2;
+    settings.tier = 1;
+    Rig rig(settings);
+    rig.list(servers(4));
+    for (int i = 0; i < 20; ++i) {
+        const auto send = only<Send>(rig.request(numbered("a", i), 3s));
+        rig.outcome(*send, Status::Ok, 0, true, 300ms);
+    }
+    // The aim is 1 s of the 3 s: with 2.1 s left 0.9 s have gone, and the usual 0.3 s would end past the aim.
+    EXPECT_EQ(all_of<Refuse>(rig.request("late", 2100ms)).size(), 1u);
+    const auto send = only<Send>(rig.request("early", 2900ms));
+    ASSERT_TRUE(send);
+    EXPECT_EQ(send->timeout, 900ms);  // and is given up once the answer is worth nothing
+    settings.classes[0].late_worth = 0.5;
+    Rig worth(settings);
+    worth.list(servers(4));
+    worth.request("first", 3s);
+    EXPECT_EQ(all_of<Send>(worth.request("late", 2100ms)).size(), 1u);
+}
+
+// ---- determinism, bad input, odd sequences --------------------------------------------------------
+
+std::string text(const std::vector<Action>& actions) {
+    std::ostringstream to;
+    struct Print {
+        std::ostringstream& to;
+        void operator()(const Send& a) const {
+            to << 'S' << a.id << ':' << static_cast<unsigned>(a.endpoint) << ':' << a.timeout.count();
+        }
+        void operator()(const Refuse& a) const { to << 'R' << a.id; }
+        void operator()(const Fail& a) const { to << 'F' << a.id; }
+        void operator()(const Cancel& a) const { to << 'C' << a.id << ':' << a.attempt; }
+        void operator()(const SetTimer& a) const {
+            to << 'T' << a.at.time_since_epoch().count() << ':' << a.token;
+        }
+        void operator()(const Probe& a) const { to << 'P' << static_cast<unsigned>(a.endpoint); }
+        void operator()(const Subscribe&) const { to << 'W'; }
+        void operator()(const ShutIdle& a) const { to << 'I' << static_cast<unsigned>(a.endpoint); }
+    };
+    for (const Action& action : actions) {
+        std::visit(Print{to}, action);
+        to << ' ';
+    }
+    return to.str();
+}
+
+/// A long odd day, by one seed: checks rules 1, 2, 3, 5 and 6 on the actions that come out.
+class OddDay {
+  public:
+    OddDay(Settings settings, std::uint64_t seed)
+        : settings_(settings), rig_(settings, seed), state_(seed * 77 + 1) {
+        rig_.watch = [this](const std::vector<Action>& actions) { check(actions); };
+    }
+
+    void step() {
+        const unsigned dice = below(100);
+        if (dice < 30) {
+            new_request();
+        } else if (dice < 65) {
+            some_outcome();
+        } else if (dice < 75) {
+            some_list();
+        } else if (dice < 80 && !open_.empty()) {
+            const RequestId id = std::next(open_.begin(), below(open_.size()))->first;
+            open_.at(id).over = true;
+            rig_.give(Lapsed{id});
+        } else if (dice < 83) {
+            rig_.give(TimerFired{below(2000)});
+        } else if (dice < 85) {
+            rig_.give(Outcome{"nobody", below(3), EndpointId{below(30)}, Status::Error, 1ms, false, {}});
+        } else {
+            check_advance(Duration{1ms} * (1 + below(400)));
+        }
+    }
+    void finish() {
+        check_advance(30s);
+        for (const auto& [id, call] : open_) {
+            // What is still out at its deadline times out, as a host reports it.
+            if (call.over) continue;
+            EXPECT_TRUE(std::any_of(call.sends.begin(), call.sends.end(), [](auto& s) { return s.out; }))
+                << id;
+        }
+    }
+    std::string log;
+
+  private:
+    struct Sent {
+        EndpointId to{};
+        unsigned cell = 0, zone = 0;
+        Time at{};
+        bool out = true, may_have_run = true;
+    };
+    struct Call {
+        unsigned cls = 0;
+        Time deadline{};
+        std::vector<Sent> sends;
+        bool over = false;
+        std::optional<std::uint64_t> key;
+        unsigned order = 0;  // of arrival
+        Time rests_until{};  // its key, once it is over
+    };
+
+    unsigned below(std::size_t n) {
+        state_ = state_ * 6364136223846793005u + 1442695040888963407u;
+        return static_cast<unsigned>((state_ >> 33) % n);
+    }
+    void new_request() {
+        Request request;
+        request.id = numbered("q", ++count_);
+        request.class_index = below(settings_.classes.size());
+        request.deadline = rig_.now + Duration{1ms} * below(3000);
+        if (below(4) != 0) request.key = below(3);
+        open_[request.id] = {request.class_index, request.deadline, {}, false, request.key, count_, {}};
+        taken_.push_back(rig_.now);
+        rig_.give(request);
+        if (below(10) == 0 && !open_.at(request.id).over) rig_.give(request);  // the same id again
+    }
+    void some_outcome() {
+        std::vector<std::pair<RequestId, AttemptNumber>> out;
+        for (const auto& [id, call] : open_) {
+            for (AttemptNumber n = 0; n < call.sends.size(); ++n) {
+                if (call.sends[n].out) out.emplace_back(id, n);
+            }
+        }
+        if (out.empty()) return;
+        const auto [id, n] = out[below(out.size())];
+        Call& call = open_.at(id);
+        const Status status = static_cast<Status>(below(8));
+        end_attempt(id, call, n, status, status == Status::Ok && !call.over);
+    }
+    void end_attempt(const RequestId& id, Call& call, AttemptNumber n, Status status, bool serves) {
+        Sent& sent = call.sends[n];
+        sent.out = false;
+        if (status == Status::Full || status == Status::ConnectFailed || status == Status::Moot) {
+            sent.may_have_run = false;
+        }
+        if (status == Status::Timeout || status == Status::Reset || status == Status::Cancelled) {
+            call.rests_until = rig_.now + settings_.rules.turn_gap;
+        }
+        if (status == Status::Moot && n > 0) further_.erase(further_.find(sent.at));
+        const bool last = serves || call.over;
+        if (serves) call.over = true;
+        rig_.give(Outcome{id, n, sent.to, status, rig_.now - sent.at, last, {}});
+        if (below(8) == 0) rig_.give(Outcome{id, n, sent.to, Status::Ok, 1ms, last, {}});  // repeated
+    }
+    void some_list() {
+        std::vector<Endpoint> entries;
+        for (unsigned i = 1; i <= 9; ++i) {
+            if (below(3) == 0) continue;
+            Endpoint endpoint = server(i, i / 2, i / 4);
+            if (below(4) == 0) endpoint.availability = static_cast<Availability>(below(3));
+            if (below(4) == 0) endpoint.started = rig_.now - Duration{1s} * below(20);
+            entries.push_back(endpoint);
+        }
+        const auto kind = static_cast<Discovered::Kind>(below(4));
+        if (kind == Discovered::Kind::Full || kind == Discovered::Kind::Cached) usable_.clear();
+        if (kind != Discovered::Kind::Failed) {
+            for (const Endpoint& e : entries) {
+                known_[e.id] = e;
+                if (e.availability == Availability::Ready) {
+                    usable_.insert(e.id);
+                } else {
+                    usable_.erase(e.id);
+                }
+            }
+        }
+        rig_.list(entries, kind);
+    }
+    void check_advance(Duration by) {
+        const Time end = rig_.now + by;
+        while (rig_.now < end) {
+            // The host reports what is out at the client's deadline as timed out, if the call is still open.
+            Time next = end;
+            for (const auto& [id, call] : open_) {
+                if (!call.over && call.deadline > rig_.now) next = std::min(next, call.deadline);
+            }
+            rig_.advance(next - rig_.now);
+            for (auto& [id, call] : open_) {
+                if (call.over || call.deadline > rig_.now) continue;
+                for (AttemptNumber n = 0; n < call.sends.size(); ++n) {
+                    if (call.sends[n].out) end_attempt(id, call, n, Status::Timeout, false);
+                }
+                EXPECT_TRUE(call.over) << "rule 1: " << id << " has no answer at its deadline";
+            }
+        }
+    }
+    void check(const std::vector<Action>& actions) {
+        log += text(actions);
+        for (const Action& action : actions) {
+            if (const auto* send = std::get_if<Send>(&action)) check_send(*send);
+            if (const auto* refuse = std::get_if<Refuse>(&action)) check_end(refuse->id, true);
+            if (const auto* fail = std::get_if<Fail>(&action)) check_end(fail->id, false);
+        }
+    }
+    void check_send(const Send& send) {
+        ASSERT_TRUE(open_.contains(send.id));
+        Call& call = open_.at(send.id);
+        EXPECT_FALSE(call.over) << "rule 1: sent after its end";
+        EXPECT_TRUE(usable_.contains(send.endpoint)) << "rule 3";
+        EXPECT_LT(call.sends.size(), settings_.limits.max_attempts);
+        const RequestClass& rules = settings_.classes[call.cls];
+        const Endpoint& to = known_.at(send.endpoint);
+        const auto out = std::count_if(call.sends.begin(), call.sends.end(), [](auto& s) { return s.out; });
+        EXPECT_LT(out, settings_.limits.second_copies ? 2 : 1);
+        for (const Sent& sent : call.sends) {
+            if (!sent.may_have_run || rules.effect == Effect::Free) continue;
+            EXPECT_NE(rules.effect, Effect::SingleShot) << "rule 2";
+            EXPECT_LE(rig_.now, sent.at + rules.window) << "rule 2: past the window";
+            if (rules.group == Group::Cell) {
+                EXPECT_EQ(sent.cell, to.cell) << "rule 2";
+            }
+            if (rules.group == Group::Zone) {
+                EXPECT_EQ(sent.zone, to.zone) << "rule 2";
+            }
+        }
+        if (call.sends.empty()) check_turn(call);
+        if (!call.sends.empty()) check_ration();
+        call.sends.push_back({send.endpoint, to.cell, to.zone, rig_.now, true, true});
+    }
+    void check_turn(const Call& call) {
+        if (!call.key || !settings_.classes[call.cls].sequential) return;
+        for (const auto& [id, other] : open_) {
+            if (other.key != call.key || other.order >= call.order) continue;
+            if (!settings_.classes[other.cls].sequential) continue;
+            EXPECT_TRUE(other.over) << "rule 5: " << id << " came earlier and is not over";
+            for (const Sent& sent : other.sends) EXPECT_FALSE(sent.out) << "rule 5: " << id << " is out";
+            EXPECT_LE(other.rests_until, rig_.now) << "rule 5: rest after " << id;
+        }
+    }
+    void check_ration() {
+        further_.insert(rig_.now);
+        const auto& told = settings_.rules.attempt_budget;
+        if (!told) return;
+        // The window as the wire words it, with its edge read both ways.
+        const Time from = rig_.now - told->look_back;
+        const auto further = std::distance(further_.lower_bound(from), further_.end());
+        const auto taken = std::count_if(taken_.begin(), taken_.end(), [&](Time t) { return t > from; });
+        EXPECT_LE(static_cast<double>(further), told->floor + told->ratio * static_cast<double>(taken))
+            << "rule 6";
+    }
+    void check_end(const RequestId& id, bool refused) {
+        ASSERT_TRUE(open_.contains(id));
+        Call& call = open_.at(id);
+        EXPECT_FALSE(call.over) << "rule 1: answered twice";
+        EXPECT_LE(rig_.now, std::max(call.deadline, rig_.now - kTick) + settings_.rules.answer_slack);
+        call.over = true;
+        const RequestClass& rules = settings_.classes[call.cls];
+        if (!refused || rules.effect == Effect::Free) return;
+        if (rules.effect == Effect::Guarded && rules.group == Group::All) return;
+        for (const Sent& sent : call.sends)
+            EXPECT_FALSE(sent.may_have_run) << "rule 2: refused though it may have run";
+    }
+
+    Settings settings_;
+    Rig rig_;
+    std::uint64_t state_;
+    unsigned count_ = 0;
+    std::map<RequestId, Call> open_;
+    std::vector<Time> taken_;
+    std::multiset<Time> further_;
+    std::set<EndpointId> usable_;
+    std::map<EndpointId, Endpoint> known_;
+};
+
+Settings odd_settings(std::uint64_t seed) {
+    Settings settings = plain();
+    settings.classes = {make_class(Effect::Free), make_class(Effect::Guarded, Group::Cell),
+                        make_class(Effect::Guarded, Group::Zone), make_class(Effect::Guarded, Group::All),
+                        make_class(Effect::SingleShot)};
+    settings.classes[1].window = Duration{};
+    settings.subscribe = seed % 2 == 0;
+    settings.limits.second_copies = seed % 3 != 0;
+    settings.limits.probing = seed % 5 == 0;
+    settings.replicas = 1 + static_cast<std::uint32_t>(seed % 4) * 7;
+    if (seed % 4 == 1) settings.report_via = ReportVia::Answers;
+    if (seed % 3 == 0) {
+        settings.classes[0].sequential = settings.classes[1].sequential = settings.classes[4].sequential =
+            true;
+        settings.rules.turn_gap = Duration{1ms} * (seed % 2 * 150);
+    }
+    if (seed % 4 >= 2) settings.rules.attempt_budget = {1.0, 0.1, 2s};
+    return settings;
+}
+
+TEST(OddSequences, KeepTheRulesThatAnInstanceKeepsAlone) {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        SCOPED_TRACE(seed);
+        OddDay day(odd_settings(seed), seed);
+        for (int i = 0; i < 1500; ++i) day.step();
+        day.finish();
+        if (testing::Test::HasFailure()) return;
+    }
+}
+
+TEST(Determinism, SameSeedAndEventsGiveTheSameActionsAndInstancesAreApart) {
+    std::vector<std::string> alone;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        OddDay day(odd_settings(seed), seed);
+        for (int i = 0; i < 800; ++i) day.step();
+        alone.push_back(day.log);
+        EXPECT_FALSE(day.log.empty());
+    }
+    OddDay a(odd_settings(1), 1), b(odd_settings(2), 2), c(odd_settings(3), 3);
+    for (int i = 0; i < 800; ++i) {
+        c.step();
+        a.step();
+        b.step();
+    }
+    EXPECT_EQ(a.log, alone[0]);
+    EXPECT_EQ(b.log, alone[1]);
+    EXPECT_EQ(c.log, alone[2]);
+    OddDay other(odd_settings(1), 2);
+    for (int i = 0; i < 800; ++i) other.step();
+    EXPECT_NE(other.log, alone[0]);
+}
+
+struct Senseless {
+    const char* name;
+    void (*spoil)(Settings&);
+    const char* field;
+};
+class SenselessSettings : public testing::TestWithParam<Senseless> {};
+
+TEST_P(SenselessSettings, AreRejectedByName) {
+    Settings settings = plain();
+    EXPECT_NO_THROW(Balancer(settings, 1));
+    GetParam().spoil(settings);
+    try {
+        Balancer balancer(settings, 1);
+        ADD_FAILURE() << "accepted";
+    } catch (const std::invalid_argument& error) {
+        EXPECT_NE(std::string(error.what()).find(GetParam().field), std::string::npos) << error.what();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Settings, SenselessSettings,
+    testing::Values(Senseless{"NoClasses", [](Settings& s) { s.classes.clear(); }, "classes"},
+                    Senseless{"NoAttempts", [](Settings& s) { s.limits.max_attempts = 0; }, "max_attempts"},
+                    Senseless{"NoReplicas", [](Settings& s) { s.replicas = 0; }, "replicas"},
+                    Senseless{"ZoneOut", [](Settings& s) { s.zone = 4; }, "zone"},
+                    Senseless{"TierOut", [](Settings& s) { s.tier = 1; }, "tier"},
+                    Senseless{"NegativeTick", [](Settings& s) { s.tick = -1ms; }, "tick"},
+                    Senseless{"NegativeAim", [](Settings& s) { s.classes[0].aim = -1ms; }, "classes.aim"},
+                    Senseless{"NoDeadline", [](Settings& s) { s.classes[0].deadline = 0ms; },
+                              "classes.deadline"},
+                    Senseless{"LateWorth", [](Settings& s) { s.classes[0].late_worth = 1.5; }, "late_worth"},
+                    Senseless{"ColdShare", [](Settings& s) { s.rules.cold_from = -0.1; }, "cold_from"},
+                    Senseless{"Ramp", [](Settings& s) { s.rules.ramp_time = -1s; }, "ramp_time"},
+                    Senseless{"Multiple", [](Settings& s) { s.rules.fall_multiple = NAN; }, "fall_multiple"},
+                    Senseless{"TurnGap", [](Settings& s) { s.rules.turn_gap = -1ms; }, "turn_gap"},
+                    Senseless{"RatioWithoutWindow",
+                              [](Settings& s) {
+                                  s.rules.attempt_budget = {2.0, 0.1, 0ms};
+                              },
+                              "attempt_budget.look_back"},
+                    Senseless{"NegativeFloor",
+                              [](Settings& s) {
+                                  s.rules.attempt_budget = {-1.0, 0.1, 2s};
+                              },
+                              "attempt_budget.floor"},
+                    Senseless{"RatioOut",
+                              [](Settings& s) {
+                                  s.rules.attempt_budget = {2.0, 1.5, 2s};
+                              },
+                              "attempt_budget.ratio"},
+                    Senseless{"TenantShare",
+                              [](Settings& s) {
+                                  s.tenants = {{"t", 2.0, 0.0}};
+                              },
+                              "tenants.share"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(BadInput, ClassOrTenantOutOfRangeIsRefusedBeforeAnythingChanges) {
+    Settings settings = plain();
+    settings.tenants = {{"t", 1.0, 10.0}};
+    Rig rig(settings);
+    rig.list(servers(2));
+    Request request;
+    request.id = "a";
+    request.deadline = rig.now + 1s;
+    request.class_index = 1;
+    EXPECT_THROW(rig.give(request), std::invalid_argument);
+    request.class_index = 0;
+    request.tenant = 1;
+    EXPECT_THROW(rig.give(request), std::invalid_argument);
+    request.tenant = 0;
+    EXPECT_EQ(all_of<Send>(rig.give(request)).size(), 1u);
+}
+
+}  // namespace
+}  // namespace loftfront
--- /dev/null
+++ b/tests/run.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# The one test command: builds, checks and tests everything from a clean state, below build-check/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+root=$PWD work=$PWD/build-check
+rm -rf "$work"
+mkdir -p "$work"
+jobs=$(nproc)
+
+echo "== the module's limits"
+lines=$(grep -c '[^[:space:]]' src/logic.cpp)
+if ((lines > 610)); then echo "src/logic.cpp has $lines non-blank lines; 610 are the most"; exit 1; fi
+wide=$(awk 'length($0) > 110 { print FILENAME ":" FNR }' src/logic.cpp)
+if [[ -n $wide ]]; then echo "longer than 110 columns: $wide"; exit 1; fi
+echo "src/logic.cpp: $lines non-blank lines"
+
+echo "== format"
+find adapter include src tests examples \( -name '*.cpp' -o -name '*.h' \) -print0 |
+    xargs -0 clang-format --dry-run -Werror
+
+echo "== release build without warnings, install, consumer"
+cmake -S . -B "$work/release" -DCMAKE_BUILD_TYPE=Release -DCMAKE_CXX_FLAGS=-Werror -DLOFTFRONT_TESTS=OFF \
+    -DCMAKE_INSTALL_PREFIX="$work/prefix" >"$work/log" || { cat "$work/log"; exit 1; }
+cmake --build "$work/release" -j"$jobs" >"$work/log" 2>&1 || { cat "$work/log"; exit 1; }
+cmake --install "$work/release" >"$work/log" || { cat "$work/log"; exit 1; }
+cmake -S tests/consumer -B "$work/consumer" -DCMAKE_PREFIX_PATH="$work/prefix" >"$work/log" ||
+    { cat "$work/log"; exit 1; }
+cmake --build "$work/consumer" -j"$jobs" >"$work/log" 2>&1 || { cat "$work/log"; exit 1; }
+"$work/consumer/consumer"
+
+echo "== the deploy file's own build, from a copy, answers an empty batch"
+mkdir "$work/deploy"
+git ls-files -z -- adapter cmake deploy examples include src tests CMakeLists.txt |
+    xargs -0 cp --parents -t "$work/deploy"
+read_key() { sed -n "s/^$1 = \"\(.*\)\".*/\1/p" deploy/balancer.toml; }
+build=$(read_key build) sim=$(read_key sim)
+(cd "$work/deploy" && sh -c "$build" >"$work/log" 2>&1) || { cat "$work/log"; exit 1; }
+reply=$(cd "$work/deploy" && echo '{"clock":8412250000,"round":1,"events":[]}' | sh -c "$sim")
+if [[ $reply != '{"round":1,"cmds":[]}' ]]; then echo "unexpected reply: $reply"; exit 1; fi
+echo "$reply"
+
+echo "== tests under the address and undefined behaviour sanitizers"
+cmake -S . -B "$work/sanitized" -DCMAKE_BUILD_TYPE=Release -DCMAKE_CXX_FLAGS=-Werror -DLOFTFRONT_SANITIZE=ON \
+    >"$work/log" || { cat "$work/log"; exit 1; }
+cmake --build "$work/sanitized" -j"$jobs" >"$work/log" 2>&1 || { cat "$work/log"; exit 1; }
+cd "$work/sanitized"
+ctest --output-on-failure --no-tests=error
