--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -1,240 +1,25 @@
 #include "wire.h"
 
 #include <algorithm>
-#include <limits>
 #include <optional>
 #include <utility>
 
+#include "read_settings.h"
+
 namespace loftfront::wire {
 namespace {
 
-using simdjson::dom::array;
-using simdjson::dom::element;
-using simdjson::dom::object;
-
-[[noreturn]] void bad(const std::string& what) {
-    throw WireError(what);
-}
-
-/// The value of a field; nothing where it is absent or null.
-std::optional<element> find(const object& from, std::string_view name) {
-    element value;
-    if (from[name].get(value) != simdjson::SUCCESS || value.is_null()) return std::nullopt;
-    return value;
-}
-
-element need(const object& from, std::string_view name) {
-    if (auto value = find(from, name)) return *value;
-    bad("field '" + std::string(name) + "' is missing");
-}
+using namespace json;
 
-template <typename T>
-T as(const element& value, std::string_view name, const char* kind) {
-    T result;
-    if (value.get(result) != simdjson::SUCCESS) bad("field '" + std::string(name) + "' is not " + kind);
-    return result;
-}
-
-std::uint64_t to_unsigned(const element& value, std::string_view name,
-                          std::uint64_t most = std::numeric_limits<std::uint64_t>::max()) {
-    const auto number = as<std::uint64_t>(value, name, "a whole number of 0 or more");
-    if (number > most) bad("field '" + std::string(name) + "' is out of range");
-    return number;
-}
-constexpr std::uint64_t kMost32 = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t kMostKey = (std::uint64_t{1} << 53) - 1;
 constexpr std::uint64_t kMostToken = std::uint64_t{1} << 63;
 
-std::uint32_t need_u32(const object& from, std::string_view name, std::uint64_t most = kMost32) {
-    return static_cast<std::uint32_t>(to_unsigned(need(from, name), name, most));
-}
-std::uint32_t u32_or(const object& from, std::string_view name, std::uint32_t otherwise) {
-    const auto value = find(from, name);
-    return value ? static_cast<std::uint32_t>(to_unsigned(*value, name, kMost32)) : otherwise;
-}
-Duration to_duration(const element& value, std::string_view name) {
-    return Duration{as<std::int64_t>(value, name, "a time in whole nanoseconds")};
-}
-Duration to_span(const element& value, std::string_view name) {
-    const Duration span = to_duration(value, name);
-    if (span < Duration{}) bad("field '" + std::string(name) + "' is a negative span");
-    return span;
-}
-Duration need_span(const object& from, std::string_view name) {
-    return to_span(need(from, name), name);
-}
-Duration span_or_zero(const object& from, std::string_view name) {
-    const auto value = find(from, name);
-    return value ? to_span(*value, name) : Duration{};
-}
-Time need_time(const object& from, std::string_view name) {
-    return Time{to_duration(need(from, name), name)};
-}
-double need_number(const object& from, std::string_view name) {
-    return as<double>(need(from, name), name, "a number");
-}
-double number_or(const object& from, std::string_view name, double otherwise) {
-    const auto value = find(from, name);
-    return value ? as<double>(*value, name, "a number") : otherwise;
-}
-bool flag_or(const object& from, std::string_view name, bool otherwise) {
-    const auto value = find(from, name);
-    return value ? as<bool>(*value, name, "true or false") : otherwise;
-}
-std::string_view need_text(const object& from, std::string_view name) {
-    return as<std::string_view>(need(from, name), name, "a text");
-}
 RequestId need_request(const object& from) {
     return RequestId{need_text(from, "request_id")};
 }
 EndpointId need_endpoint(const object& from) {
     return EndpointId{need_u32(from, "endpoint")};
 }
-object need_object(const object& from, std::string_view name) {
-    return as<object>(need(from, name), name, "an object");
-}
-/// An absent array reads as an empty one.
-std::vector<element> elements(const object& from, std::string_view name) {
-    std::vector<element> result;
-    if (const auto value = find(from, name)) {
-        for (const element item : as<array>(*value, name, "an array")) result.push_back(item);
-    }
-    return result;
-}
-
-/// How many names a list gives; one where it is absent or empty, as everything has some zone, kind and tier.
-std::uint32_t count_or_one(const object& from, std::string_view name) {
-    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(elements(from, name).size()));
-}
-
-template <typename T>
-T word_of(std::string_view text, std::string_view name,
-          std::initializer_list<std::pair<std::string_view, T>> words) {
-    for (const auto& [word, meaning] : words) {
-        if (word == text) return meaning;
-    }
-    bad("field '" + std::string(name) + "' has an unknown word");
-}
-
-RequestClass read_class(const object& from) {
-    RequestClass result;
-    result.name = need_text(from, "name");
-    result.worth = number_or(from, "credit", 1.0);
-    result.late_worth = number_or(from, "late_value", 0.0);
-    result.aim = need_span(from, "slo");
-    result.aim_stretch = number_or(from, "aim_stretch", 0.0);
-    result.deadline = need_span(from, "deadline");
-    result.effect = word_of<Effect>(
-        need_text(from, "effect"), "effect",
-        {{"free", Effect::Free}, {"guarded", Effect::Guarded}, {"single_shot", Effect::SingleShot}});
-    if (find(from, "group")) {
-        result.group = word_of<Group>(need_text(from, "group"), "group",
-                                      {{"all", Group::All}, {"zone", Group::Zone}, {"cell", Group::Cell}});
-    }
-    result.window = span_or_zero(from, "window");
-    result.stream = flag_or(from, "stream", false);
-    result.sequential = flag_or(from, "sequential", false);
-    return result;
-}
-
-Limits read_limits(const object& from) {
-    Limits result;
-    result.may_cancel = flag_or(from, "may_cancel", false);
-    result.probing = flag_or(from, "probing", false);
-    result.second_copies = flag_or(from, "second_copies", false);
-    result.peers = flag_or(from, "peers", false);
-    result.retry_after = flag_or(from, "retry_after", false);
-    result.max_attempts = need_u32(from, "try_limit");
-    result.streams_per_connection = u32_or(from, "max_streams", 1);
-    result.connection_idle = span_or_zero(from, "conn_idle");
-    result.connect_timeout = span_or_zero(from, "dial_timeout");
-    result.max_retry_after = span_or_zero(from, "max_retry_after");
-    return result;
-}
-
-Rules read_rules(const object& from) {
-    Rules result;
-    result.answer_slack = need_span(from, "answer_slack");
-    result.ask_every = span_or_zero(from, "ask_every");
-    result.drain_grace = need_span(from, "stop_sending_within");
-    result.cold_from = need_number(from, "cold_from");
-    result.ramp_time = need_span(from, "ramp_time");
-    result.fall_multiple = need_number(from, "fall_multiple");
-    result.tip_after = need_span(from, "tip_after");
-    result.turn_gap = span_or_zero(from, "turn_gap");
-    // Any one of the three says that attempts are rationed; validation finds what is missing then.
-    if (find(from, "extra_floor") || find(from, "resend_ratio") || find(from, "look_back")) {
-        result.attempt_budget = {number_or(from, "extra_floor", 0.0), number_or(from, "resend_ratio", 0.0),
-                                 span_or_zero(from, "look_back")};
-    }
-    return result;
-}
-
-Prices read_prices(const object& from) {
-    Prices result;
-    result.connection = number_or(from, "connection", 0.0);
-    result.cross_zone = number_or(from, "cross_zone", 0.0);
-    result.discovery = number_or(from, "discovery", 0.0);
-    result.handshake = number_or(from, "handshake", 0.0);
-    result.late_fail = number_or(from, "late_fail", 0.0);
-    result.probe = number_or(from, "probe", 0.0);
-    result.waste = number_or(from, "waste", 0.0);
-    return result;
-}
-
-Settings read_settings(const object& from) {
-    Settings result;
-    result.position = need_u32(from, "position");
-    result.replicas = need_u32(from, "replicas_of_me");
-    result.zone = u32_or(from, "zone", 0);
-    result.zones = count_or_one(from, "dcs");
-    result.kinds = count_or_one(from, "kinds");
-    result.tier = u32_or(from, "layer", 0);
-    result.tiers = count_or_one(from, "tiers");
-    result.subscribe =
-        word_of<bool>(need_text(from, "discovery"), "discovery", {{"automatic", false}, {"subscribe", true}});
-    if (find(from, "family_info")) {
-        result.passes_deadline = flag_or(need_object(from, "family_info"), "passes_deadline", true);
-    }
-    if (find(from, "clients")) {
-        result.marks_retry = flag_or(need_object(from, "clients"), "marks_retry", false);
-    }
-    if (find(from, "worth_by")) {
-        result.worth_by_work =
-            word_of<bool>(need_text(from, "worth_by"), "worth_by", {{"request", false}, {"work", true}});
-    }
-    result.over_share_worth = number_or(from, "over_share_worth", 1.0);
-    if (find(from, "weights")) {
-        result.weights = word_of<Weights>(need_text(from, "weights"), "weights",
-                                          {{"none", Weights::None},
-                                           {"nominal", Weights::Nominal},
-                                           {"rough", Weights::Rough},
-                                           {"live", Weights::Live}});
-    }
-    if (find(from, "load_report")) {
-        result.report_via = word_of<ReportVia>(
-            need_text(need_object(from, "load_report"), "via"), "via",
-            {{"none", ReportVia::None}, {"answers", ReportVia::Answers}, {"probe", ReportVia::Probe}});
-    }
-    result.tick = span_or_zero(from, "tick");
-    for (const element& item : elements(from, "classes")) {
-        result.classes.push_back(read_class(as<object>(item, "classes", "an array of objects")));
-    }
-    for (const element& item : elements(from, "accounts")) {
-        const auto account = as<object>(item, "accounts", "an array of objects");
-        result.tenants.push_back({std::string(need_text(account, "name")), number_or(account, "share", 0.0),
-                                  number_or(account, "allowance_per_s", 0.0)});
-    }
-    result.limits = read_limits(need_object(from, "limits"));
-    if (find(from, "prices")) result.prices = read_prices(need_object(from, "prices"));
-    result.rules = read_rules(need_object(from, "invariants"));
-    try {
-        validate(result);
-    } catch (const std::invalid_argument& error) {
-        bad(error.what());
-    }
-    return result;
-}
 
 Endpoint read_endpoint(const object& from) {
     Endpoint result;
--- a/adapter/wire.h
+++ b/adapter/wire.h
@@ -7,20 +7,18 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
+#include "fields.h"
 #include "loftfront/balancer.h"
 
 namespace loftfront::wire {
 
 /// Malformed input: the text names the round and the field.
-struct WireError : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
+using WireError = json::FieldError;
 
 struct Provision {
     std::uint64_t seed = 0;
--- /dev/null
+++ b/src/net/callers.cpp
@@ -0,0 +1,370 @@
+#include "callers.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/socket_base.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <variant>
+
+namespace martenford {
+
+using namespace loftfront;
+using boost::system::error_code;
+using Reply = http::response<http::string_body>;
+
+namespace {
+
+constexpr std::size_t kMostBody = 64 * 1024;
+constexpr std::size_t kMostHeader = 8 * 1024;
+constexpr std::size_t kReadSize = 4 * 1024;
+constexpr std::size_t kMostId = 128;
+constexpr std::int64_t kMostTimeoutMs = 24 * 3600 * 1000;
+constexpr Duration kOnTheWay = 5ms;       // an answer sent later than this before the client's end misses it
+constexpr Duration kRequestTime = 10s;    // a request must be whole in this time from its first byte
+constexpr Duration kLingerTime = 1s;      // for the client to read the last answer and close
+constexpr Duration kAcceptAgain = 20ms;   // after running out of descriptors
+constexpr Duration kLastCall = 450ms;     // connections come for 0.4 s after SIGTERM
+constexpr Duration kLastRequest = 200ms;  // and the requests on them
+
+std::optional<std::int64_t> whole_number(boost::beast::string_view text) {
+    std::int64_t value = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, fault] = std::from_chars(text.data(), end, value);
+    if (fault != std::errc{} || stop != end) return std::nullopt;
+    return value;
+}
+
+std::uint64_t hash(std::string_view text) {  // FNV-1a: requests on one key meet the same number everywhere
+    std::uint64_t value = 14695981039346656037u;
+    for (const char c : text) value = (value ^ static_cast<unsigned char>(c)) * 1099511628211u;
+    return value;
+}
+
+/// The event that a message stands for, or the status that turns it away.
+std::variant<Request, http::status> read_request(const Message& message, const Settings& settings,
+                                                 Time arrived) {
+    const auto id = message["X-Request-ID"], name = message["X-Priority-Class"];
+    if (id.empty() || id.size() > kMostId || name.empty()) return http::status::bad_request;
+    std::string_view path(message.target().data(), message.target().size());
+    path = path.substr(0, path.find('?'));
+    if (path.empty() || path.front() != '/') return http::status::bad_request;
+    path.remove_prefix(1);
+    const auto known = std::find_if(settings.classes.begin(), settings.classes.end(),
+                                    [&](const RequestClass& c) { return name == c.name; });
+    if (known == settings.classes.end() || path.substr(0, path.find('/')) != known->name) {
+        return http::status::not_found;
+    }
+    const auto method = known->effect == Effect::Free ? http::verb::get : http::verb::post;
+    if (message.method() != method) return http::status::method_not_allowed;
+    if (known->effect == Effect::Guarded && message["Idempotency-Key"].empty())
+        return http::status::bad_request;
+    const auto timeout = whole_number(message["X-Timeout-Ms"]);
+    if (!timeout || *timeout < 1 || *timeout > kMostTimeoutMs) return http::status::bad_request;
+
+    Request request;
+    request.id = std::string(id);
+    request.class_index = static_cast<std::uint32_t>(known - settings.classes.begin());
+    request.deadline = arrived + std::chrono::milliseconds(*timeout) - kOnTheWay;
+    request.write = known->effect != Effect::Free;
+    request.resent = message["X-Retried"] == "1";
+    if (!settings.tenants.empty()) {
+        const auto tenant = std::find_if(settings.tenants.begin(), settings.tenants.end(),
+                                         [&](const Tenant& t) { return message["X-Tenant-Id"] == t.name; });
+        if (tenant == settings.tenants.end()) return http::status::bad_request;
+        request.tenant = static_cast<std::uint32_t>(tenant - settings.tenants.begin());
+    }
+    if (const auto slash = path.rfind('/'); slash != std::string_view::npos) {
+        request.key = hash(path.substr(slash + 1));
+    }
+    if (const auto cost = whole_number(message["X-Cost"]);
+        cost && *cost >= 0 && *cost < kMostTimeoutMs * 1000) {
+        request.work = std::chrono::microseconds(*cost);
+    }
+    return request;
+}
+
+/// Takes off what concerns the caller's connection alone.
+void strip_hop_headers(Message& message) {
+    const auto listed = std::string(message[http::field::connection]);
+    for (const auto& name : http::token_list(listed)) {
+        if (!boost::beast::iequals(name, "close") && !boost::beast::iequals(name, "keep-alive")) {
+            message.erase(name);
+        }
+    }
+    for (const auto field :
+         {http::field::connection, http::field::keep_alive, http::field::proxy_connection, http::field::te,
+          http::field::trailer, http::field::upgrade, http::field::expect}) {
+        message.erase(field);
+    }
+    message.version(11);
+    message.prepare_payload();
+}
+
+}  // namespace
+
+/// One client's connection. A read is always pending, also while a request is open, so that a client that
+/// leaves is seen.
+class Client : public std::enable_shared_from_this<Client> {
+  public:
+    Client(Callers& callers, asio::ip::tcp::socket socket)
+        : callers_(callers),
+          socket_(std::move(socket)),
+          limit_(callers.loop_),
+          buffer_(kMostHeader + kReadSize) {}
+
+    void start(Callers::Clients::iterator place) {
+        place_ = place;
+        next_request();
+        read();
+    }
+    /// Between requests: no byte of the next has come.
+    bool idle() const { return stage_ == Stage::Reading && !parser_->got_some() && buffer_.size() == 0; }
+    bool used() const { return used_; }
+    void close() {
+        if (std::exchange(stage_, Stage::Closed) == Stage::Closed) return;
+        limit_.cancel();
+        error_code ignored;
+        socket_.close(ignored);
+        callers_.closed(place_);
+    }
+
+  private:
+    enum class Stage { Reading, Waiting, Writing, Lingering, Closed };
+
+    void next_request() {
+        stage_ = Stage::Reading;
+        limit_.cancel();
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->header_limit(kMostHeader);
+        parser_->body_limit(kMostBody);
+    }
+
+    void read() {
+        if (stage_ == Stage::Closed || reading_ || buffer_.size() > kMostHeader) return;
+        reading_ = true;
+        socket_.async_read_some(buffer_.prepare(kReadSize),
+                                [self = shared_from_this()](const error_code& error, std::size_t size) {
+                                    self->reading_ = false;
+                                    if (self->stage_ == Stage::Closed) return;
+                                    if (error) return self->left();
+                                    self->buffer_.commit(size);
+                                    if (self->stage_ == Stage::Lingering) self->buffer_.clear();
+                                    self->parse();
+                                    self->read();
+                                });
+    }
+
+    void left() {
+        const auto self = shared_from_this();
+        const bool open = stage_ == Stage::Waiting;
+        close();
+        if (open) callers_.engine_.leave(id_);
+    }
+
+    void parse() {
+        if (stage_ != Stage::Reading || buffer_.size() == 0) return;
+        if (!parser_->got_some()) {
+            limit_.set(Loop::now() + kRequestTime, [self = shared_from_this()] {
+                self->turn_away(http::status::request_timeout, false);
+            });
+        }
+        while (buffer_.size() > 0 && !parser_->is_done()) {
+            error_code error;
+            buffer_.consume(parser_->put(buffer_.data(), error));
+            if (error == http::error::need_more) return;
+            if (error == http::error::body_limit) return turn_away(http::status::payload_too_large, false);
+            if (error == http::error::header_limit) {
+                return turn_away(http::status::request_header_fields_too_large, false);
+            }
+            if (error) return turn_away(http::status::bad_request, false);
+        }
+        if (parser_->is_done()) taken();
+    }
+
+    void taken() {
+        limit_.cancel();
+        used_ = true;
+        callers_.clients_.splice(callers_.clients_.end(), callers_.clients_, place_);
+        auto message = std::make_shared<Message>(parser_->release());
+        const bool keep = message->keep_alive();
+        if (message->target() == "/-/ready") {
+            if (message->method() != http::verb::get)
+                return turn_away(http::status::method_not_allowed, keep);
+            const bool ready = callers_.ready_() && !callers_.draining();
+            return turn_away(ready ? http::status::ok : http::status::service_unavailable, keep);
+        }
+        auto request = read_request(*message, callers_.settings_, Loop::now() - since_arrival());
+        if (const auto* status = std::get_if<http::status>(&request)) return turn_away(*status, keep);
+        strip_hop_headers(*message);
+        keep_ = keep;
+        stage_ = Stage::Waiting;
+        id_ = std::get<Request>(request).id;
+        const bool fresh = callers_.engine_.take(
+            std::get<Request>(std::move(request)), std::move(message),
+            [self = shared_from_this()](Answer&& answer) { self->answer(std::move(answer)); });
+        if (!fresh) turn_away(http::status::conflict, keep);
+    }
+
+    /// How long the last byte has been waiting here to be read. Guards against counting the client's time
+    /// from when the loop got to its request.
+    Duration since_arrival() {
+        tcp_info info{};
+        socklen_t size = sizeof info;
+        if (getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return {};
+        return std::chrono::milliseconds(info.tcpi_last_data_recv);
+    }
+
+    void answer(Answer&& answer) {
+        if (stage_ != Stage::Waiting) return;
+        Reply reply{http::status::bad_gateway, 11};
+        if (answer.kind == Answer::Kind::Served) {
+            reply.result(http::status::ok);
+            reply.body() = std::move(answer.body);
+            if (!answer.content_type.empty()) reply.set(http::field::content_type, answer.content_type);
+        } else if (answer.kind == Answer::Kind::Refused) {
+            reply.result(http::status::service_unavailable);
+            if (answer.retry_after > Duration{} && callers_.settings_.limits.retry_after) {
+                const double seconds = std::chrono::duration<double>(answer.retry_after).count();
+                reply.set(http::field::retry_after, std::to_string(seconds));
+            }
+        }
+        write(std::move(reply), keep_);
+    }
+
+    /// Answers without the module.
+    void turn_away(http::status status, bool keep) { write(Reply{status, 11}, keep); }
+
+    void write(Reply&& reply, bool keep) {
+        stage_ = Stage::Writing;
+        limit_.set(Loop::now() + kRequestTime, [self = shared_from_this()] { self->close(); });
+        reply_ = std::move(reply);
+        reply_.keep_alive(keep && !callers_.draining());
+        reply_.prepare_payload();
+        http::async_write(socket_, reply_, [self = shared_from_this()](const error_code& error, std::size_t) {
+            if (self->stage_ == Stage::Closed) return;
+            if (error) return self->close();
+            if (!self->reply_.keep_alive()) return self->linger();
+            self->reply_ = {};
+            self->next_request();
+            self->parse();
+            self->read();
+        });
+    }
+
+    /// Waits for the client to close first. Guards against a reset that takes the answer with it, where bytes
+    /// of the client's are still unread.
+    void linger() {
+        stage_ = Stage::Lingering;
+        error_code error;
+        socket_.shutdown(asio::socket_base::shutdown_send, error);
+        buffer_.clear();
+        limit_.set(Loop::now() + kLingerTime, [self = shared_from_this()] { self->close(); });
+        read();
+    }
+
+    Callers& callers_;
+    asio::ip::tcp::socket socket_;
+    Timer limit_;
+    boost::beast::flat_buffer buffer_;
+    Callers::Clients::iterator place_;
+    Stage stage_ = Stage::Reading;
+    bool reading_ = false, keep_ = false, used_ = false;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    RequestId id_;
+    Reply reply_;
+};
+
+Callers::Callers(Loop& loop, Engine& engine, const Settings& settings, const Address& listen,
+                 std::size_t most, std::function<bool()> ready)
+    : loop_(loop),
+      engine_(engine),
+      settings_(settings),
+      most_(most),
+      ready_(std::move(ready)),
+      acceptor_(loop.io(), listen),  // with SO_REUSEADDR: a restart takes over its address at once
+      again_(loop),
+      quiet_(loop) {
+    acceptor_.listen(asio::socket_base::max_listen_connections);
+    acceptor_.non_blocking(true);
+    accept();
+}
+Callers::~Callers() = default;
+
+void Callers::accept() {
+    if (accepting_ || !acceptor_.is_open()) return;
+    if (clients_.size() >= most_ && !make_room()) return;  // goes on when one closes
+    accepting_ = true;
+    acceptor_.async_accept([this](const error_code& error, asio::ip::tcp::socket socket) {
+        accepting_ = false;
+        accepted(error, std::move(socket));
+    });
+}
+
+void Callers::accepted(const error_code& error, asio::ip::tcp::socket socket) {
+    if (!acceptor_.is_open()) return;
+    if (error == asio::error::no_descriptors || error == boost::system::errc::too_many_files_open_in_system ||
+        error == asio::error::no_memory || error == asio::error::no_buffer_space) {
+        // Guards against spinning on a listener that stays ready while nothing can be accepted.
+        make_room();
+        return again_.set(Loop::now() + kAcceptAgain, [this] { accept(); });
+    }
+    if (!error) {
+        error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        const auto client = std::make_shared<Client>(*this, std::move(socket));
+        client->start(clients_.insert(clients_.end(), client));
+    }
+    accept();
+}
+
+/// Closes the client's connection that has been idle longest.
+bool Callers::make_room() {
+    for (const auto& entry : clients_) {
+        if (const auto client = entry.lock(); client && client->idle()) {
+            client->close();
+            return true;
+        }
+    }
+    return false;
+}
+
+void Callers::closed(Clients::iterator place) {
+    clients_.erase(place);
+    if (drained_ && last_call_over_ && clients_.empty()) return drained_();
+    accept();
+}
+
+void Callers::drain(std::function<void()> done) {
+    if (drained_) return;
+    drained_ = std::move(done);
+    quiet_.set(Loop::now() + kLastCall, [this] { stop_accepting(); });
+}
+
+void Callers::stop_accepting() {
+    // What the kernel has accepted by now is taken over first; the loop has run all that was ready.
+    error_code ignored;
+    acceptor_.close(ignored);
+    const auto close_idle = [this](bool also_new) {
+        for (const auto& entry : Clients(clients_)) {
+            if (const auto client = entry.lock(); client && client->idle() && (also_new || client->used())) {
+                client->close();
+            }
+        }
+    };
+    close_idle(false);
+    quiet_.set(Loop::now() + kLastRequest, [this, close_idle] {
+        close_idle(true);
+        last_call_over_ = true;
+        if (clients_.empty()) drained_();
+    });
+}
+
+}  // namespace martenford
--- /dev/null
+++ b/src/net/callers.h
@@ -0,0 +1,49 @@
+// The listener and the clients' connections: request to event, the one final answer, /-/ready.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+
+#include "engine.h"
+
+namespace martenford {
+
+class Client;
+
+class Callers {
+  public:
+    /// Holds this many connections at most. Throws boost::system::system_error where it can't listen.
+    Callers(Loop& loop, Engine& engine, const loftfront::Settings& settings, const Address& listen,
+            std::size_t most, std::function<bool()> ready);
+    ~Callers();
+
+    /// Stops in order: accepts and serves what still comes, answers all that was taken, then calls `done`.
+    void drain(std::function<void()> done);
+    bool draining() const { return static_cast<bool>(drained_); }
+
+  private:
+    friend class Client;
+    using Clients = std::list<std::weak_ptr<Client>>;
+
+    void accept();
+    void accepted(const boost::system::error_code& error, asio::ip::tcp::socket socket);
+    bool make_room();
+    void closed(Clients::iterator place);
+    void stop_accepting();
+
+    Loop& loop_;
+    Engine& engine_;
+    const loftfront::Settings& settings_;
+    std::size_t most_;
+    std::function<bool()> ready_;
+    asio::ip::tcp::acceptor acceptor_;
+    Clients clients_;  // in the order of their last request, the latest last
+    bool accepting_ = false;
+    Timer again_, quiet_;
+    std::function<void()> drained_;
+    bool last_call_over_ = false;
+};
+
+}  // namespace martenford
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,77 @@
+#include "config.h"
+
+#include <charconv>
+#include <cstdlib>
+
+#include "read_settings.h"
+
+namespace martenford {
+
+using namespace loftfront::json;
+
+namespace {
+
+constexpr std::size_t kFewestSockets = 64;
+
+/// A variable overrides the field beside it, or stands in for it.
+std::string text(const object& from, const char* variable, std::string_view field) {
+    if (const char* value = std::getenv(variable); value && *value) return value;
+    return std::string(need_text(from, field));
+}
+
+Address address(const object& from, const char* variable, std::string_view field) {
+    const std::string value = text(from, variable, field);
+    if (const auto parsed = parse_address(value)) return *parsed;
+    bad("field '" + std::string(field) + "' is no address: '" + value + "'");
+}
+
+std::vector<std::string> names(const object& from, std::string_view field) {
+    std::vector<std::string> result;
+    for (const element& item : elements(from, field)) {
+        result.emplace_back(as<std::string_view>(item, field, "an array of texts"));
+    }
+    return result;
+}
+
+/// Hexadecimal digits, 64 bits of them.
+std::uint64_t read_seed(const object& from) {
+    const std::string_view digits = need_text(from, "seed");
+    std::uint64_t seed = 0;
+    const char* end = digits.data() + digits.size();
+    const auto [stop, fault] = std::from_chars(digits.data(), end, seed, 16);
+    if (fault != std::errc{} || stop != end) bad("field 'seed' is no hexadecimal number of 64 bits");
+    return seed;
+}
+
+}  // namespace
+
+Config read_config() {
+    const char* path = std::getenv("PROXY_CONFIG");
+    if (!path || !*path) throw ConfigError("PROXY_CONFIG is not set");
+    simdjson::dom::parser parser;
+    element root;
+    if (const auto error = parser.load(path).get(root)) {
+        throw ConfigError("PROXY_CONFIG: " + std::string(simdjson::error_message(error)));
+    }
+    try {
+        const auto top = as<object>(root, "PROXY_CONFIG", "an object");
+        Config result;
+        result.name = text(top, "PROXY_NAME", "name");
+        result.listen = address(top, "PROXY_LISTEN", "listen");
+        result.discovery = address(top, "PROXY_DISCOVERY", "discovery");
+        result.seed = read_seed(top);
+        if (find(top, "limits")) {
+            result.sockets = u32_or(need_object(top, "limits"), "sockets", 1024);
+            if (result.sockets < kFewestSockets) bad("field 'limits.sockets' is too small");
+        }
+        const auto settings = need_object(top, "settings");
+        result.settings = read_settings(settings);
+        result.names = {names(settings, "dcs"), names(settings, "kinds")};
+        if (find(top, "known")) result.known = parse_targets(need_object(top, "known"), result.names);
+        return result;
+    } catch (const FieldError& error) {
+        throw ConfigError(error.what());
+    }
+}
+
+}  // namespace martenford
--- /dev/null
+++ b/src/net/discovery.h
@@ -0,0 +1,60 @@
+// Asks discovery for the list of endpoints and keeps watching it; uid to EndpointId, addresses.
+#pragma once
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "config.h"
+#include "engine.h"
+
+namespace martenford {
+
+class Discovery {
+  public:
+    Discovery(Loop& loop, Upstream& upstream, Engine& engine, const Config& config);
+    ~Discovery();
+
+    /// Tells the module what the configuration knew. Where lists are pushed, starts to watch.
+    void start();
+    /// Starts to watch, unless it does already. A failure is told to the module, which asks again.
+    void subscribe();
+    /// Whether any endpoint is known to serve.
+    bool knows_any() const;
+
+  private:
+    struct Known {
+        EndpointId id{};
+        loftfront::Endpoint endpoint;
+        std::int64_t boot_ms = 0;
+    };
+    struct Exchange;
+
+    void ask();
+    void failed(const std::string& why);
+    void arrived(const std::string& body);
+    void apply(const TargetList& list, loftfront::Discovered::Kind kind);
+    loftfront::Endpoint update(const Target& target);
+    EndpointId new_id(const std::string& uid) const;
+
+    Loop& loop_;
+    Upstream& upstream_;
+    Engine& engine_;
+    const Config& config_;
+    std::map<std::string, Known> known_;  // by uid
+    std::set<EndpointId> taken_;
+    std::uint64_t revision_ = 0;
+    bool has_list_ = false;
+    std::shared_ptr<Exchange> exchange_;  // the connection, while watching
+    Timer again_;
+    Duration wait_{};
+    std::uint64_t random_;
+    simdjson::dom::parser parser_;
+};
+
+}  // namespace martenford
--- /dev/null
+++ b/src/net/engine.cpp
@@ -0,0 +1,176 @@
+#include "engine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace martenford {
+
+using namespace loftfront;
+
+namespace {
+/// The module speaks first at its deadline: a time-out there may still be a refusal, the backstop's is not.
+constexpr Duration kBackstopAfter = 3ms;
+}  // namespace
+
+Engine::Engine(Loop& loop, Upstream& upstream, const Settings& settings, std::uint64_t seed)
+    : loop_(loop), upstream_(upstream), limits_(settings.limits), balancer_(settings, seed) {}
+
+void Engine::start() {
+    std::vector<Action> actions;
+    handling_ = true;
+    balancer_.start(Loop::now(), actions);
+    for (const Action& action : actions) act(action);
+    handling_ = false;
+}
+
+bool Engine::take(Request request, std::shared_ptr<const Message> message, Reply reply) {
+    const auto [it, fresh] = calls_.try_emplace(request.id, loop_);
+    if (!fresh) return false;
+    Call& call = it->second;
+    call.message = std::move(message);
+    call.deadline = request.deadline;
+    call.reply = std::move(reply);
+    // Guards against a request that is lost because the module holds it, or has forgotten it.
+    call.backstop.set(call.deadline + kBackstopAfter, [this, id = request.id] {
+        const auto late = calls_.find(id);
+        if (late == calls_.end() || !late->second.reply) return;
+        complete(late->second, Answer{});
+        forget_if_over(late);
+        post(Lapsed{id});
+    });
+    post(std::move(request));
+    return true;
+}
+
+void Engine::leave(const RequestId& id) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || !it->second.reply) return;
+    it->second.reply = nullptr;
+    it->second.backstop.cancel();
+    withdraw_unwritten(it->second);
+    post(Lapsed{id});
+    if (const auto left = calls_.find(id); left != calls_.end()) forget_if_over(left);
+}
+
+/// The module is never entered from within: what arises while its actions run waits here.
+void Engine::post(Event event) {
+    events_.push_back(std::move(event));
+    if (std::exchange(handling_, true)) return;
+    std::vector<Action> actions;
+    while (!events_.empty()) {
+        const Event next = std::move(events_.front());
+        events_.pop_front();
+        actions.clear();
+        balancer_.handle(Loop::now(), next, actions);
+        for (const Action& action : actions) act(action);
+    }
+    handling_ = false;
+}
+
+void Engine::act(const Action& action) {
+    struct Visitor {
+        Engine& engine;
+        void operator()(const Send& send) const { engine.send(send); }
+        void operator()(const Refuse& refuse) const {
+            finish(refuse.id, Answer{Answer::Kind::Refused, {}, {}, refuse.retry_after});
+        }
+        void operator()(const Fail& fail) const { finish(fail.id, Answer{}); }
+        void operator()(const Cancel& cancel) const {
+            const auto it = engine.calls_.find(cancel.id);
+            if (it == engine.calls_.end() || cancel.attempt >= it->second.attempts.size()) return;
+            const Attempt& attempt = it->second.attempts[cancel.attempt];
+            if (attempt.out) Upstream::cancel(attempt.handle);
+        }
+        void operator()(const SetTimer& timer) const {
+            engine.loop_.add(timer.at,
+                             [&engine = engine, token = timer.token] { engine.post(TimerFired{token}); });
+        }
+        void operator()(const Probe& probe) const {
+            engine.upstream_.probe(
+                probe.endpoint, [&engine = engine, id = probe.endpoint, sent = Loop::now()](Result&& result) {
+                    engine.post(ProbeResult{id, result.status, Loop::now() - sent, std::nullopt});
+                });
+        }
+        void operator()(const Subscribe&) const {
+            if (engine.subscribe_) engine.subscribe_();
+        }
+        void operator()(const ShutIdle& shut) const { engine.upstream_.shut_idle(shut.endpoint); }
+
+        void finish(const RequestId& id, Answer&& answer) const {
+            const auto it = engine.calls_.find(id);
+            if (it == engine.calls_.end()) return;
+            engine.complete(it->second, std::move(answer));
+            engine.forget_if_over(it);
+        }
+    };
+    std::visit(Visitor{*this}, action);
+}
+
+void Engine::send(const Send& send) {
+    const auto it = calls_.find(send.id);
+    const Time now = Loop::now();
+    // Nothing goes out for a request that is complete, out of time or out of attempts.
+    if (it == calls_.end()) return;
+    Call& call = it->second;
+    const std::size_t number = call.attempts.size();
+    call.attempts.push_back({{}, now});
+    if (!call.reply || now >= call.deadline || number >= limits_.max_attempts) {
+        return ended(send.id, number, send.endpoint, Result{Status::Moot, {}, {}});
+    }
+    const Time end = send.timeout == Duration{} ? call.deadline : std::min(call.deadline, now + send.timeout);
+    const auto handle =
+        upstream_.send(send.endpoint, call.message, end,
+                       [this, id = send.id, number, endpoint = send.endpoint](Result&& result) {
+                           ended(id, number, endpoint, std::move(result));
+                       });
+    if (const auto still = calls_.find(send.id); still != calls_.end()) {
+        still->second.attempts[number].handle = handle;
+    }
+}
+
+void Engine::ended(const RequestId& id, std::size_t number, EndpointId endpoint, Result&& result) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end()) return;
+    Call& call = it->second;
+    call.attempts[number].out = false;
+    Outcome outcome{id,
+                    static_cast<AttemptNumber>(number),
+                    endpoint,
+                    result.status,
+                    Loop::now() - call.attempts[number].sent,
+                    false,
+                    std::nullopt};
+    if (result.status == Status::Ok) {
+        complete(call,
+                 Answer{Answer::Kind::Served, std::move(result.body), std::move(result.content_type), {}});
+    }
+    outcome.last = !call.reply;
+    forget_if_over(it);
+    post(std::move(outcome));
+}
+
+/// The one place that answers: at most once, and nothing of the request goes out after it.
+void Engine::complete(Call& call, Answer&& answer) {
+    const Reply reply = std::exchange(call.reply, nullptr);
+    if (!reply) return;
+    call.backstop.cancel();
+    withdraw_unwritten(call);
+    reply(std::move(answer));
+}
+
+void Engine::withdraw_unwritten(Call& call) {
+    // Ending one may end the call, and its attempts with it: go by a copy.
+    std::vector<Upstream::Attempt> unwritten;
+    for (const Attempt& attempt : call.attempts) {
+        if (attempt.out) unwritten.push_back(attempt.handle);
+    }
+    for (const Upstream::Attempt& attempt : unwritten) Upstream::withdraw_unwritten(attempt);
+}
+
+void Engine::forget_if_over(Calls::iterator it) {
+    const auto& attempts = it->second.attempts;
+    const bool out = std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
+    if (!it->second.reply && !out) calls_.erase(it);
+}
+
+}  // namespace martenford
--- /dev/null
+++ b/src/net/engine.h
@@ -0,0 +1,77 @@
+// Owns the balancer: turns what happens into its events and its actions into I/O. The table of open requests
+// is here, and the one place that completes a request.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "loop.h"
+#include "upstream.h"
+
+namespace martenford {
+
+/// The final answer to a request.
+struct Answer {
+    enum class Kind { Served, Refused, Failed };
+    Kind kind = Kind::Failed;
+    std::string body;
+    std::string content_type;
+    Duration retry_after{};  ///< of a refusal; 0: no advice
+};
+
+class Engine {
+  public:
+    using Reply = std::function<void(Answer&&)>;
+
+    Engine(Loop& loop, Upstream& upstream, const loftfront::Settings& settings, std::uint64_t seed);
+
+    /// What the module's Subscribe calls.
+    void on_subscribe(std::function<void()> subscribe) { subscribe_ = std::move(subscribe); }
+    void start();
+
+    /// Takes a request; `reply` is called once, unless the client leaves first. False where one with the same
+    /// id is still under way: then nothing was taken.
+    bool take(loftfront::Request request, std::shared_ptr<const Message> message, Reply reply);
+    /// The client of an open request has gone.
+    void leave(const loftfront::RequestId& id);
+    void tell(loftfront::Discovered news) { post(std::move(news)); }
+
+  private:
+    struct Attempt {
+        Upstream::Attempt handle;
+        Time sent{};
+        bool out = true;
+    };
+    struct Call {
+        Call(Loop& loop) : backstop(loop) {}
+        std::shared_ptr<const Message> message;
+        Time deadline{};
+        Reply reply;  // empty once the request is complete
+        Timer backstop;
+        std::vector<Attempt> attempts;
+    };
+    using Calls = std::unordered_map<loftfront::RequestId, Call>;
+
+    void post(loftfront::Event event);
+    void act(const loftfront::Action& action);
+    void send(const loftfront::Send& send);
+    void ended(const loftfront::RequestId& id, std::size_t number, EndpointId endpoint, Result&& result);
+    void complete(Call& call, Answer&& answer);
+    void withdraw_unwritten(Call& call);
+    void forget_if_over(Calls::iterator call);
+
+    Loop& loop_;
+    Upstream& upstream_;
+    loftfront::Limits limits_;
+    loftfront::Balancer balancer_;
+    std::function<void()> subscribe_;
+    std::deque<loftfront::Event> events_;
+    bool handling_ = false;
+    Calls calls_;
+};
+
+}  // namespace martenford
--- /dev/null
+++ b/src/net/main.cpp
@@ -0,0 +1,44 @@
+// The sidecar: reads its configuration, serves until SIGTERM, answers what it has taken and exits.
+#include <boost/asio/signal_set.hpp>
+#include <exception>
+
+#include "callers.h"
+#include "config.h"
+#include "discovery.h"
+
+namespace martenford {
+namespace {
+
+constexpr std::size_t kSpareSockets = 24;  // the standard streams, the loop's own, the listener, discovery
+
+int serve() {
+    const Config config = read_config();
+    Loop loop;
+    const std::size_t half = (config.sockets - kSpareSockets) / 2;
+    Upstream upstream(loop, config.settings.limits, half);
+    Engine engine(loop, upstream, config.settings, config.seed);
+    Discovery discovery(loop, upstream, engine, config);
+    Callers callers(loop, engine, config.settings, config.listen, half,
+                    [&] { return discovery.knows_any(); });
+    engine.on_subscribe([&] { discovery.subscribe(); });
+    engine.start();
+    discovery.start();
+    asio::signal_set signals(loop.io(), SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code& error, int) {
+        if (!error) callers.drain([&] { loop.stop(); });
+    });
+    loop.run();
+    return 0;
+}
+
+}  // namespace
+}  // namespace martenford
+
+int main() {
+    try {
+        return martenford::serve();
+    } catch (const std::exception& error) {
+        martenford::log(error.what());
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/net/targets.cpp
@@ -0,0 +1,88 @@
+#include "targets.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <cmath>
+
+#include "loop.h"
+
+namespace martenford {
+
+using namespace loftfront;
+using namespace loftfront::json;
+
+namespace {
+
+constexpr std::int64_t kMostBootMs = std::int64_t{1} << 42;  // the year 2109: what is later is no time
+
+std::optional<std::uint32_t> index_of(const std::vector<std::string>& names, std::string_view name) {
+    if (names.empty()) return 0;
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        if (names[i] == name) return static_cast<std::uint32_t>(i);
+    }
+    return std::nullopt;
+}
+
+Target parse_target(const object& from, const Names& names) {
+    Target result;
+    result.uid = need_text(from, "uid");
+    if (result.uid.empty()) bad("field 'uid' is empty");
+    result.endpoint.availability = word_of<Availability>(need_text(from, "state"), "state",
+                                                         {{"Ready", Availability::Ready},
+                                                          {"Terminating", Availability::Draining},
+                                                          {"Gone", Availability::Gone}});
+    if (result.endpoint.availability == Availability::Gone) return result;  // nothing more is needed
+    const auto address = parse_address(need_text(from, "endpoint"));
+    if (!address) bad("field 'endpoint' is no address");
+    result.address = *address;
+    // The zone may decide where a keyed repeat goes: one that the settings don't name is no use.
+    const auto zone = find(from, "az") ? index_of(names.zones, need_text(from, "az")) : 0;
+    if (!zone) bad("field 'az' names no zone of the settings");
+    result.endpoint.zone = *zone;
+    if (find(from, "model"))
+        result.endpoint.kind = index_of(names.kinds, need_text(from, "model")).value_or(0);
+    result.endpoint.cell = u32_or(from, "pod_group", 0);
+    result.endpoint.weight = number_or(from, "capacity_hint", 1.0);
+    if (!std::isfinite(result.endpoint.weight) || result.endpoint.weight < 0.0) {
+        bad("field 'capacity_hint' is out of range");
+    }
+    if (const auto boot = find(from, "boot_ms")) {
+        result.boot_ms = as<std::int64_t>(*boot, "boot_ms", "a time in whole milliseconds");
+        if (result.boot_ms < 0 || result.boot_ms > kMostBootMs) bad("field 'boot_ms' is out of range");
+    }
+    return result;
+}
+
+}  // namespace
+
+std::optional<Address> parse_address(std::string_view text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) return std::nullopt;
+    boost::system::error_code error;
+    const auto host = asio::ip::make_address(std::string(text.substr(0, colon)), error);
+    std::uint16_t port = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, fault] = std::from_chars(text.data() + colon + 1, end, port);
+    if (error || fault != std::errc{} || stop != end) return std::nullopt;
+    return Address{host, port};
+}
+
+TargetList parse_targets(const object& from, const Names& names) {
+    TargetList result;
+    result.revision = to_unsigned(need(from, "rev"), "rev");
+    result.all = as<bool>(need(from, "all"), "all", "true or false");
+    need(from, "targets");
+    for (const element& item : elements(from, "targets")) {
+        try {
+            result.targets.push_back(parse_target(as<object>(item, "targets", "an array of objects"), names));
+        } catch (const FieldError& error) {
+            std::string_view uid;
+            if (item["uid"].get(uid) != simdjson::SUCCESS) uid = {};
+            log("discovery: an entry was skipped: " + std::string(error.what()));
+            result.unreadable.emplace_back(uid);
+        }
+    }
+    return result;
+}
+
+}  // namespace martenford
--- /dev/null
+++ b/src/net/upstream.cpp
@@ -0,0 +1,314 @@
+#include "upstream.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/write.hpp>
+#include <optional>
+
+namespace martenford {
+
+using boost::system::error_code;
+using loftfront::Status;
+
+namespace {
+
+constexpr std::size_t kMostBody = 64 * 1024;
+constexpr std::size_t kMostHeader = 8 * 1024;
+constexpr std::size_t kReadSize = 4 * 1024;
+constexpr Duration kProbeTime = 1s;
+constexpr double kIdleShare = 0.8;  // of the endpoint's idle limit: it may close from there on, unseen by us
+
+Status classify(const http::response<http::string_body>& answer) {
+    if (answer.result_int() == 200) return Status::Ok;
+    const bool turned_away = answer.result_int() == 503 || answer.result_int() == 504;
+    return turned_away && answer["X-Not-Processed"] == "1" ? Status::Full : Status::Error;
+}
+
+}  // namespace
+
+/// One connection to an endpoint. It carries one request at a time; a read is always pending, so that a close
+/// is seen while it carries none.
+class Connection : public std::enable_shared_from_this<Connection> {
+  public:
+    Connection(Upstream& pool, EndpointId id, const Address& address)
+        : id(id),
+          address(address),
+          pool_(pool),
+          socket_(pool.loop_.io()),
+          limit_(pool.loop_),
+          end_(pool.loop_),
+          buffer_(kMostHeader + kReadSize) {
+        ++pool_.count_;
+    }
+
+    const EndpointId id;
+    const Address address;
+    Time idle_since{};
+
+    void start(std::shared_ptr<const Message> message, Upstream::Outgoing&& outgoing, Time end,
+               Upstream::Done done) {
+        message_ = std::move(message);
+        outgoing_.emplace(std::move(outgoing));
+        done_ = std::move(done);
+        limit_.cancel();
+        end_.set(end, [self = shared_from_this()] {
+            self->finish(self->stage_ == Stage::Connecting ? Status::ConnectFailed : Status::Timeout);
+        });
+        if (stage_ == Stage::Connecting) {
+            connect();
+        } else {
+            write();
+        }
+    }
+    /// For an attempt that is no longer wanted.
+    void cancel() { finish(Status::Cancelled); }
+    void withdraw_unwritten() {
+        if (stage_ == Stage::Connecting) finish(Status::Moot);
+    }
+    /// For one that carries nothing.
+    void close() {
+        if (std::exchange(stage_, Stage::Closed) == Stage::Closed) return;
+        --pool_.count_;
+        limit_.cancel();
+        end_.cancel();
+        error_code ignored;
+        socket_.close(ignored);
+    }
+
+  private:
+    enum class Stage { Connecting, Writing, Waiting, Idle, Closed };
+
+    void connect() {
+        limit_.set(Loop::now() + pool_.limits_.connect_timeout,
+                   [self = shared_from_this()] { self->finish(Status::ConnectFailed); });
+        socket_.async_connect(address, [self = shared_from_this()](const error_code& error) {
+            if (self->stage_ != Stage::Connecting) return;
+            self->limit_.cancel();
+            if (error) return self->finish(Status::ConnectFailed);
+            error_code ignored;
+            self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->read();
+            self->write();
+        });
+    }
+
+    void write() {
+        stage_ = Stage::Writing;
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->header_limit(kMostHeader);
+        parser_->body_limit(kMostBody);
+        http::async_write(socket_, *outgoing_,
+                          [self = shared_from_this()](const error_code& error, std::size_t) {
+                              if (self->stage_ != Stage::Writing) return;
+                              // Not whole: an endpoint begins no request whose last byte has not come.
+                              if (error) return self->finish(Status::ConnectFailed);
+                              self->stage_ = Stage::Waiting;
+                              self->parse();
+                              if (self->stage_ == Stage::Waiting && self->broken_) self->ended(self->broken_);
+                              self->read_on();
+                          });
+    }
+
+    void read() {
+        reading_ = true;
+        socket_.async_read_some(buffer_.prepare(kReadSize),
+                                [self = shared_from_this()](const error_code& error, std::size_t size) {
+                                    self->reading_ = false;
+                                    if (self->stage_ == Stage::Closed) return;
+                                    self->buffer_.commit(size);
+                                    if (error) return self->ended(error);
+                                    if (self->stage_ == Stage::Idle)
+                                        return self->drop();  // nothing was asked
+                                    if (self->stage_ == Stage::Waiting) self->parse();
+                                    self->read_on();
+                                });
+    }
+    void read_on() {
+        if (stage_ == Stage::Closed || reading_ || broken_) return;
+        if (buffer_.size() <= kMostHeader) read();  // else an answer came before its request was written
+    }
+
+    void ended(const error_code& error) {
+        if (stage_ == Stage::Idle) return drop();
+        // Whether the request was written whole is known once its write has ended.
+        if (stage_ == Stage::Writing) {
+            broken_ = error;
+            return;
+        }
+        if (error == asio::error::eof && parser_->got_some()) {
+            error_code fault;
+            parser_->put_eof(fault);
+            if (!fault && parser_->is_done()) return answered(false);
+        }
+        finish(Status::Reset);
+    }
+
+    void parse() {
+        while (buffer_.size() > 0 && !parser_->is_done()) {
+            error_code error;
+            buffer_.consume(parser_->put(buffer_.data(), error));
+            if (error == http::error::need_more) return;
+            if (error) return finish(Status::Reset);
+        }
+        if (parser_->is_done()) answered(parser_->keep_alive() && buffer_.size() == 0);
+    }
+
+    void answered(bool keep) {
+        auto answer = parser_->release();
+        Result result{classify(answer), {}, {}};
+        if (result.status == Status::Ok) {
+            result.body = std::move(answer.body());
+            result.content_type = std::string(answer[http::field::content_type]);
+        }
+        end_.cancel();
+        auto done = std::exchange(done_, nullptr);
+        release();
+        if (keep && pool_.keeps(*this)) {
+            stage_ = Stage::Idle;
+            idle_since = Loop::now();
+            if (const Duration most = pool_.limits_.connection_idle; most > Duration{}) {
+                const Duration keep_for{
+                    static_cast<Duration::rep>(static_cast<double>(most.count()) * kIdleShare)};
+                limit_.set(idle_since + keep_for, [self = shared_from_this()] { self->drop(); });
+            }
+            pool_.put_back(shared_from_this());
+        } else {
+            close();
+        }
+        done(std::move(result));
+    }
+
+    /// Ends the attempt that this connection carries, and the connection with it.
+    void finish(Status status) {
+        auto done = std::exchange(done_, nullptr);
+        const auto self = shared_from_this();
+        close();
+        release();
+        if (done) done(Result{status, {}, {}});
+    }
+
+    void drop() {
+        const auto self = shared_from_this();
+        pool_.forget_idle(*this);
+        close();
+    }
+
+    void release() {
+        // A write may still refer to the message of an attempt that was given up; the last handler frees it.
+        if (stage_ == Stage::Closed) return;
+        outgoing_.reset();
+        message_.reset();
+    }
+
+    Upstream& pool_;
+    asio::ip::tcp::socket socket_;
+    Timer limit_, end_;
+    boost::beast::flat_buffer buffer_;
+    Stage stage_ = Stage::Connecting;
+    error_code broken_;  // of a read while the request was being written
+    bool reading_ = false;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    std::shared_ptr<const Message> message_;
+    std::optional<Upstream::Outgoing> outgoing_;
+    Upstream::Done done_;
+};
+
+Upstream::Upstream(Loop& loop, const loftfront::Limits& limits, std::size_t most)
+    : loop_(loop), limits_(limits), most_(most) {}
+Upstream::~Upstream() = default;
+
+void Upstream::place(EndpointId id, const Address& address, bool ready) {
+    Pool& pool = pools_[id];
+    if (!ready || pool.address != address) shut_idle(id);
+    pool.address = address;
+    pool.ready = ready;
+}
+
+void Upstream::remove(EndpointId id) {
+    shut_idle(id);
+    pools_.erase(id);
+}
+
+Upstream::Attempt Upstream::send(EndpointId id, std::shared_ptr<const Message> message, Time end, Done done) {
+    Outgoing outgoing{message->base()};
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - Loop::now());
+    outgoing.set("X-Timeout-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
+    outgoing.body() = {message->body().data(), message->body().size()};
+    return start(id, std::move(message), std::move(outgoing), end, std::move(done));
+}
+
+void Upstream::probe(EndpointId id, Done done) {
+    Outgoing outgoing{http::verb::get, "/-/healthy", 11};
+    outgoing.set(http::field::host, "service.internal");
+    start(id, nullptr, std::move(outgoing), Loop::now() + kProbeTime, std::move(done));
+}
+
+Upstream::Attempt Upstream::start(EndpointId id, std::shared_ptr<const Message> message, Outgoing&& outgoing,
+                                  Time end, Done done) {
+    const auto pool = pools_.find(id);
+    auto connection = pool == pools_.end() ? nullptr : take(id, pool->second);
+    if (!connection) {
+        done(Result{Status::ConnectFailed, {}, {}});
+        return {};
+    }
+    connection->start(std::move(message), std::move(outgoing), end, std::move(done));
+    return connection;
+}
+
+std::shared_ptr<Connection> Upstream::take(EndpointId id, Pool& pool) {
+    if (!pool.idle.empty()) {
+        auto connection = std::move(pool.idle.back());
+        pool.idle.pop_back();
+        return connection;
+    }
+    if (count_ >= most_ && !make_room()) return nullptr;
+    return std::make_shared<Connection>(*this, id, pool.address);
+}
+
+/// Closes the connection that has been idle longest. Guards against running out of descriptors.
+bool Upstream::make_room() {
+    Pool* oldest = nullptr;
+    for (auto& [id, pool] : pools_) {
+        if (pool.idle.empty()) continue;
+        if (!oldest || pool.idle.front()->idle_since < oldest->idle.front()->idle_since) oldest = &pool;
+    }
+    if (!oldest) return false;
+    const auto connection = std::move(oldest->idle.front());
+    oldest->idle.erase(oldest->idle.begin());
+    connection->close();
+    return true;
+}
+
+bool Upstream::keeps(const Connection& connection) const {
+    const auto pool = pools_.find(connection.id);
+    return pool != pools_.end() && pool->second.ready && pool->second.address == connection.address;
+}
+
+void Upstream::put_back(std::shared_ptr<Connection> connection) {
+    pools_.at(connection->id).idle.push_back(std::move(connection));
+}
+
+void Upstream::forget_idle(const Connection& connection) {
+    const auto pool = pools_.find(connection.id);
+    if (pool == pools_.end()) return;
+    std::erase_if(pool->second.idle, [&](const auto& idle) { return idle.get() == &connection; });
+}
+
+void Upstream::cancel(const Attempt& attempt) {
+    if (const auto connection = attempt.lock()) connection->cancel();
+}
+
+void Upstream::withdraw_unwritten(const Attempt& attempt) {
+    if (const auto connection = attempt.lock()) connection->withdraw_unwritten();
+}
+
+void Upstream::shut_idle(EndpointId id) {
+    const auto pool = pools_.find(id);
+    if (pool == pools_.end()) return;
+    for (const auto& connection : std::exchange(pool->second.idle, {})) connection->close();
+}
+
+}  // namespace martenford
--- /dev/null
+++ b/src/read_settings.h
@@ -0,0 +1,11 @@
+// The settings object, as the bench's wire and the sidecar's configuration both give it. No decisions.
+#pragma once
+
+#include "fields.h"
+
+namespace loftfront::json {
+
+/// Throws FieldError that names the field where the object is malformed or makes no sense.
+Settings read_settings(const object& from);
+
+}  // namespace loftfront::json
