--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -21,6 +21,8 @@
 
     /// Stops in order: accepts and serves what still comes, answers all that was taken, then calls `done`.
     void drain(std::function<void()> done);
+    /// Where it listens: the port is the system's choice where the configuration says 0.
+    Address listens_at() const { return acceptor_.local_endpoint(); }
     bool draining() const { return static_cast<bool>(drained_); }
 
   private:
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -1,6 +1,7 @@
 // The sidecar: reads its configuration, serves until SIGTERM, answers what it has taken and exits.
 #include <boost/asio/signal_set.hpp>
 #include <exception>
+#include <sstream>
 
 #include "callers.h"
 #include "config.h"
@@ -27,6 +28,9 @@
     signals.async_wait([&](const boost::system::error_code& error, int) {
         if (!error) callers.drain([&] { loop.stop(); });
     });
+    std::ostringstream where;
+    where << callers.listens_at();
+    log("listening on " + where.str());
     loop.run();
     return 0;
 }
