--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -5,8 +5,6 @@
 
 #include <algorithm>
 #include <boost/asio/socket_base.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <optional>
@@ -16,14 +14,10 @@
 namespace martenford {
 
 using namespace loftfront;
-using boost::system::error_code;
 using Reply = http::response<http::string_body>;
 
 namespace {
 
-constexpr std::size_t kMostBody = 64 * 1024;
-constexpr std::size_t kMostHeader = 8 * 1024;
-constexpr std::size_t kReadSize = 4 * 1024;
 constexpr std::size_t kMostId = 128;
 constexpr std::int64_t kMostTimeoutMs = 24 * 3600 * 1000;
 constexpr Duration kOnTheWay = 5ms;       // an answer sent later than this before the client's end misses it
@@ -114,10 +108,7 @@
 class Client : public std::enable_shared_from_this<Client> {
   public:
     Client(Callers& callers, asio::ip::tcp::socket socket)
-        : callers_(callers),
-          socket_(std::move(socket)),
-          limit_(callers.loop_),
-          buffer_(kMostHeader + kReadSize) {}
+        : callers_(callers), socket_(std::move(socket)), limit_(callers.loop_), buffer_(kMostBuffer) {}
 
     void start(Callers::Clients::iterator place) {
         place_ = place;
@@ -141,10 +132,7 @@
     void next_request() {
         stage_ = Stage::Reading;
         limit_.cancel();
-        parser_.emplace();
-        parser_->eager(true);
-        parser_->header_limit(kMostHeader);
-        parser_->body_limit(kMostBody);
+        renew(parser_);
     }
 
     void read() {
@@ -176,16 +164,12 @@
                 self->turn_away(http::status::request_timeout, false);
             });
         }
-        while (buffer_.size() > 0 && !parser_->is_done()) {
-            error_code error;
-            buffer_.consume(parser_->put(buffer_.data(), error));
-            if (error == http::error::need_more) return;
-            if (error == http::error::body_limit) return turn_away(http::status::payload_too_large, false);
-            if (error == http::error::header_limit) {
-                return turn_away(http::status::request_header_fields_too_large, false);
-            }
-            if (error) return turn_away(http::status::bad_request, false);
+        const error_code error = feed(*parser_, buffer_);
+        if (error == http::error::body_limit) return turn_away(http::status::payload_too_large, false);
+        if (error == http::error::header_limit) {
+            return turn_away(http::status::request_header_fields_too_large, false);
         }
+        if (error) return turn_away(http::status::bad_request, false);
         if (parser_->is_done()) taken();
     }
 
@@ -277,7 +261,7 @@
     Callers::Clients::iterator place_;
     Stage stage_ = Stage::Reading;
     bool reading_ = false, keep_ = false, used_ = false;
-    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<Parser<true>> parser_;
     RequestId id_;
     Reply reply_;
 };
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -10,7 +10,6 @@
 namespace martenford {
 
 using namespace loftfront;
-using boost::system::error_code;
 
 namespace {
 
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -1,11 +1,7 @@
 // Asks discovery for the list of endpoints and keeps watching it; uid to EndpointId, addresses.
 #pragma once
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <map>
 #include <memory>
 #include <set>
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -1,22 +1,15 @@
 #include "upstream.h"
 
 #include <algorithm>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
 #include <optional>
 
 namespace martenford {
 
-using boost::system::error_code;
 using loftfront::Status;
 
 namespace {
 
-constexpr std::size_t kMostBody = 64 * 1024;
-constexpr std::size_t kMostHeader = 8 * 1024;
-constexpr std::size_t kReadSize = 4 * 1024;
 constexpr Duration kProbeTime = 1s;
 constexpr double kIdleShare = 0.8;  // of the endpoint's idle limit: it may close from there on, unseen by us
 
@@ -39,7 +32,7 @@
           socket_(pool.loop_.io()),
           limit_(pool.loop_),
           end_(pool.loop_),
-          buffer_(kMostHeader + kReadSize) {
+          buffer_(kMostBuffer) {
         ++pool_.count_;
     }
 
@@ -96,10 +89,7 @@
 
     void write() {
         stage_ = Stage::Writing;
-        parser_.emplace();
-        parser_->eager(true);
-        parser_->header_limit(kMostHeader);
-        parser_->body_limit(kMostBody);
+        renew(parser_);
         http::async_write(socket_, *outgoing_,
                           [self = shared_from_this()](const error_code& error, std::size_t) {
                               if (self->stage_ != Stage::Writing) return;
@@ -147,12 +137,7 @@
     }
 
     void parse() {
-        while (buffer_.size() > 0 && !parser_->is_done()) {
-            error_code error;
-            buffer_.consume(parser_->put(buffer_.data(), error));
-            if (error == http::error::need_more) return;
-            if (error) return finish(Status::Reset);
-        }
+        if (feed(*parser_, buffer_)) return finish(Status::Reset);  // nobody can tell what it answers
         if (parser_->is_done()) answered(parser_->keep_alive() && buffer_.size() == 0);
     }
 
@@ -210,7 +195,7 @@
     Stage stage_ = Stage::Connecting;
     error_code broken_;  // of a read while the request was being written
     bool reading_ = false;
-    std::optional<http::response_parser<http::string_body>> parser_;
+    std::optional<Parser<false>> parser_;
     std::shared_ptr<const Message> message_;
     std::optional<Upstream::Outgoing> outgoing_;
     Upstream::Done done_;
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -1,23 +1,19 @@
 // Connections to endpoints: a pool each, attempts and probes on them, and what became of each.
 #pragma once
 
-#include <boost/beast/http/message.hpp>
 #include <boost/beast/http/span_body.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "http.h"
 #include "loop.h"
 #include "targets.h"
 
 namespace martenford {
 
-namespace http = boost::beast::http;
-using Message = http::request<http::string_body>;
-
 /// How an attempt or a probe ended.
 struct Result {
     loftfront::Status status = loftfront::Status::Error;
