SIGHUP moves discovery; 1xx answers are skipped; a dirty connection carries nothing more

The file is now read again and discovery moves at once: the old call is dropped, the list, the ids and the pools stay, and the new agent is asked for the whole list, since its revisions may mean something else. A bad new file is one line of log. PROXY_DISCOVERY no longer overrides on a re-read: it holds the start's address. Also upstream.cpp: parse() took a 1xx for the final answer; take() reused a connection without a look at what waits unread on it, and bytes that came while a request was being written were read as its answer.

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -13,9 +13,9 @@
 
 constexpr std::size_t kFewestSockets = 64;
 
-/// A variable overrides the field beside it, or stands in for it.
+/// A variable, if one is named, overrides the field beside it, or stands in for it.
 std::string text(const object& from, const char* variable, std::string_view field) {
-    if (const char* value = std::getenv(variable); value && *value) return value;
+    if (const char* value = variable ? std::getenv(variable) : nullptr; value && *value) return value;
     return std::string(need_text(from, field));
 }
 
@@ -43,9 +43,9 @@
     return seed;
 }
 
-}  // namespace
-
-Config read_config() {
+/// Loads the file and reads it by `read`; what is wrong with it names the field.
+template <typename Read>
+auto with_file(Read read) {
     const char* path = std::getenv("PROXY_CONFIG");
     if (!path || !*path) throw ConfigError("PROXY_CONFIG is not set");
     simdjson::dom::parser parser;
@@ -54,24 +54,44 @@
         throw ConfigError("PROXY_CONFIG: " + std::string(simdjson::error_message(error)));
     }
     try {
-        const auto top = as<object>(root, "PROXY_CONFIG", "an object");
-        Config result;
-        result.name = text(top, "PROXY_NAME", "name");
-        result.listen = address(top, "PROXY_LISTEN", "listen");
-        result.discovery = address(top, "PROXY_DISCOVERY", "discovery");
-        result.seed = read_seed(top);
-        if (find(top, "limits")) {
-            result.sockets = u32_or(need_object(top, "limits"), "sockets", 1024);
-            if (result.sockets < kFewestSockets) bad("field 'limits.sockets' is too small");
-        }
-        const auto settings = need_object(top, "settings");
-        result.settings = read_settings(settings);
-        result.names = {names(settings, "dcs"), names(settings, "kinds")};
-        if (find(top, "known")) result.known = parse_targets(need_object(top, "known"), result.names);
-        return result;
+        return read(as<object>(root, "PROXY_CONFIG", "an object"));
     } catch (const FieldError& error) {
         throw ConfigError(error.what());
+    } catch (const std::invalid_argument& error) {  // settings that make no sense
+        throw ConfigError(error.what());
     }
 }
 
+Config read_all(const object& top) {
+    Config result;
+    result.name = text(top, "PROXY_NAME", "name");
+    result.listen = address(top, "PROXY_LISTEN", "listen");
+    result.discovery = address(top, "PROXY_DISCOVERY", "discovery");
+    result.seed = read_seed(top);
+    if (find(top, "limits")) {
+        result.sockets = u32_or(need_object(top, "limits"), "sockets", 1024);
+        if (result.sockets < kFewestSockets) bad("field 'limits.sockets' is too small");
+    }
+    const auto settings = need_object(top, "settings");
+    result.settings = read_settings(settings);
+    result.names = {names(settings, "dcs"), names(settings, "kinds")};
+    if (find(top, "known")) result.known = parse_targets(need_object(top, "known"), result.names);
+    return result;
+}
+
+}  // namespace
+
+Config read_config() {
+    return with_file(read_all);
+}
+
+Address read_discovery_again() {
+    return with_file([](const object& top) {
+        const Config whole = read_all(top);
+        loftfront::validate(whole.settings);
+        // The variable is the start's: only the file can have changed since.
+        return address(top, nullptr, "discovery");
+    });
+}
+
 }  // namespace martenford
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -29,5 +29,8 @@
 
 /// Reads the environment and the file that it names. Throws ConfigError.
 Config read_config();
+/// Reads the file again and gives its `discovery`, whatever the variable beside it said at the start. Throws
+/// ConfigError, also where another field of the new file is wrong.
+Address read_discovery_again();
 
 }  // namespace martenford
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -41,6 +41,7 @@
       upstream_(upstream),
       engine_(engine),
       config_(config),
+      address_(config.discovery),
       again_(loop),
       random_(config.seed) {}
 Discovery::~Discovery() = default;
@@ -58,6 +59,19 @@
     if (!exchange_) ask();
 }
 
+void Discovery::move(const Address& address) {
+    if (address == address_) return;
+    log("discovery: moves to " + address.address().to_string() + ":" + std::to_string(address.port()));
+    address_ = address;
+    // Guards against a revision that means something else to the new agent: it is asked for the whole list,
+    // and changes from it are no use before that.
+    has_list_ = false;
+    drop_exchange();
+    again_.cancel();
+    wait_ = Duration{};
+    ask();
+}
+
 bool Discovery::knows_any() const {
     return std::any_of(known_.begin(), known_.end(), [](const auto& entry) {
         return entry.second.endpoint.availability == Availability::Ready;
@@ -95,7 +109,7 @@
     };
     const auto write = [exchange, written] { http::async_write(exchange->socket, exchange->call, written); };
     if (!fresh) return write();
-    exchange->socket.async_connect(config_.discovery, [exchange, current, write](const error_code& error) {
+    exchange->socket.async_connect(address_, [exchange, current, write](const error_code& error) {
         if (!current(error, "connect")) return;
         error_code ignored;
         exchange->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -103,14 +117,17 @@
     });
 }
 
-void Discovery::failed(const std::string& why) {
-    log("discovery: " + why);
+void Discovery::drop_exchange() {
+    if (!exchange_) return;
     error_code ignored;
-    if (exchange_) {
-        exchange_->limit.cancel();
-        exchange_->socket.close(ignored);
-    }
+    exchange_->limit.cancel();
+    exchange_->socket.close(ignored);
     exchange_.reset();
+}
+
+void Discovery::failed(const std::string& why) {
+    log("discovery: " + why);
+    drop_exchange();
     if (config_.settings.subscribe) return engine_.tell({Discovered::Kind::Failed, nullptr});
     // The module asks only where lists must be asked for. Jitter: all sidecars may have failed at once.
     wait_ = std::clamp(wait_ * 2, kAgainFirst, kAgainMost);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -20,6 +20,8 @@
     void start();
     /// Starts to watch, unless it does already. A failure is told to the module, which asks again.
     void subscribe();
+    /// Goes on at another address, at once; what is known stays until the agent there has told its list.
+    void move(const Address& address);
     /// Whether any endpoint is known to serve.
     bool knows_any() const;
 
@@ -32,6 +34,7 @@
     struct Exchange;
 
     void ask();
+    void drop_exchange();
     void failed(const std::string& why);
     void arrived(const std::string& body);
     void apply(const TargetList& list, loftfront::Discovered::Kind kind);
@@ -42,6 +45,7 @@
     Upstream& upstream_;
     Engine& engine_;
     const Config& config_;
+    Address address_;
     std::map<std::string, Known> known_;  // by uid
     std::set<EndpointId> taken_;
     std::uint64_t revision_ = 0;
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -1,6 +1,7 @@
 // The sidecar: reads its configuration, serves until SIGTERM, answers what it has taken and exits.
 #include <boost/asio/signal_set.hpp>
 #include <exception>
+#include <functional>
 #include <sstream>
 
 #include "callers.h"
@@ -12,9 +13,20 @@
 
 constexpr std::size_t kSpareSockets = 24;  // the standard streams, the loop's own, the listener, discovery
 
+/// Of a new configuration only discovery's address takes effect: the rest holds from the start on.
+void reload(Discovery& discovery) {
+    try {
+        discovery.move(read_discovery_again());
+    } catch (const ConfigError& error) {
+        log("the old configuration stays: " + std::string(error.what()));
+    }
+}
+
 int serve() {
     const Config config = read_config();
     Loop loop;
+    // Guards against dying on a SIGHUP that comes while the rest is being set up.
+    asio::signal_set hang_up(loop.io(), SIGHUP);
     const std::size_t half = (config.sockets - kSpareSockets) / 2;
     Upstream upstream(loop, config.settings.limits, half);
     Engine engine(loop, upstream, config.settings, config.seed);
@@ -28,6 +40,14 @@
     signals.async_wait([&](const boost::system::error_code& error, int) {
         if (!error) callers.drain([&] { loop.stop(); });
     });
+    std::function<void()> await_hang_up = [&] {
+        hang_up.async_wait([&](const boost::system::error_code& error, int) {
+            if (error) return;
+            reload(discovery);
+            await_hang_up();
+        });
+    };
+    await_hang_up();
     std::ostringstream where;
     where << callers.listens_at();
     log("listening on " + where.str());
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -1,7 +1,10 @@
 #include "upstream.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
 #include <optional>
 
 namespace martenford {
@@ -11,6 +14,7 @@
 namespace {
 
 constexpr Duration kProbeTime = 1s;
+constexpr int kMostInterim = 16;    // answers 1xx ahead of the one that counts
 constexpr double kIdleShare = 0.8;  // of the endpoint's idle limit: it may close from there on, unseen by us
 
 Status classify(const http::response<http::string_body>& answer) {
@@ -55,6 +59,13 @@
             write();
         }
     }
+    /// Whether it can carry a request: the endpoint has neither closed it nor said anything unasked. Guards
+    /// against taking what is left of an earlier answer for the answer to the next request.
+    bool clean() {
+        char byte = 0;
+        const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
     /// For an attempt that is no longer wanted.
     void cancel() { finish(Status::Cancelled); }
     void withdraw_unwritten() {
@@ -91,6 +102,7 @@
 
     void write() {
         stage_ = Stage::Writing;
+        interim_ = 0;
         renew(parser_);
         http::async_write(socket_, *outgoing_,
                           [self = shared_from_this()](const error_code& error, std::size_t) {
@@ -114,13 +126,19 @@
                                     if (error) return self->ended(error);
                                     if (self->stage_ == Stage::Idle)
                                         return self->drop();  // nothing was asked
+                                    // Guards against bytes that were on their way before the request was: an
+                                    // answer that starts before its request is whole is none.
+                                    if (self->stage_ == Stage::Writing) {
+                                        self->broken_ = http::error::unexpected_body;
+                                        return;
+                                    }
                                     if (self->stage_ == Stage::Waiting) self->parse();
                                     self->read_on();
                                 });
     }
     void read_on() {
         if (stage_ == Stage::Closed || reading_ || broken_) return;
-        if (buffer_.size() <= kMostHeader) read();  // else an answer came before its request was written
+        read();
     }
 
     void ended(const error_code& error) {
@@ -139,8 +157,15 @@
     }
 
     void parse() {
-        if (feed(*parser_, buffer_)) return finish(Status::Reset);  // nobody can tell what it answers
-        if (parser_->is_done()) answered(parser_->keep_alive() && buffer_.size() == 0);
+        for (;;) {
+            if (feed(*parser_, buffer_)) return finish(Status::Error);  // nobody can tell what it answers
+            if (!parser_->is_done()) return;
+            // Guards against taking word that the answer is to come for the answer.
+            if (parser_->get().result_int() / 100 != 1) break;
+            if (++interim_ > kMostInterim) return finish(Status::Error);
+            renew(parser_);
+        }
+        answered(parser_->keep_alive() && buffer_.size() == 0 && clean());
     }
 
     void answered(bool keep) {
@@ -197,6 +222,7 @@
     Stage stage_ = Stage::Connecting;
     error_code broken_;  // of a read while the request was being written
     bool reading_ = false;
+    int interim_ = 0;
     std::optional<Parser<false>> parser_;
     std::shared_ptr<const Message> message_;
     std::optional<Upstream::Outgoing> outgoing_;
@@ -246,10 +272,11 @@
 }
 
 std::shared_ptr<Connection> Upstream::take(EndpointId id, Pool& pool) {
-    if (!pool.idle.empty()) {
+    while (!pool.idle.empty()) {
         auto connection = std::move(pool.idle.back());
         pool.idle.pop_back();
-        return connection;
+        if (connection->clean()) return connection;
+        connection->close();
     }
     if (count_ >= most_ && !make_room()) return nullptr;
     return std::make_shared<Connection>(*this, id, pool.address);
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -212,6 +212,11 @@
         return all;
     }
     void terminate() const { kill(pid_, SIGTERM); }
+    /// Puts another configuration in the place of the one that it has, and says so.
+    void reload(const std::string& config) const {
+        std::ofstream(path_) << config;
+        kill(pid_, SIGHUP);
+    }
     int exit_code() {
         int status = 0;
         waitpid(std::exchange(pid_, 0), &status, 0);
@@ -385,6 +390,46 @@
     }
 }
 
+TEST_F(OneEndpoint, AnswersThatOnlySayThatMoreIsToComeAreSkipped) {
+    Peer client = sidecar.client();
+    client.send(debit("r1"));
+    Peer at_endpoint = endpoint.accept();
+    at_endpoint.receive();
+    const std::string early =
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <x>; rel=preload\r\n\r\n";
+    at_endpoint.send(early + answer(200, "1"));
+    EXPECT_EQ(body_of(client.receive()), "1");
+    client.send(debit("r2"));  // on the same connection: nothing was left over
+    EXPECT_TRUE(has(at_endpoint.receive(), "X-Request-ID: r2"));
+    std::string many;
+    for (int i = 0; i < 1000; ++i) many += "HTTP/1.1 102 x\r\n\r\n";
+    at_endpoint.send(many);
+    EXPECT_EQ(status_of(client.receive()), 502);
+    EXPECT_TRUE(endpoint.untouched());
+}
+
+TEST_F(OneEndpoint, WhatFollowsAnAnswerNeverBecomesTheNextOnesAnswer) {
+    for (const std::string& more : {answer(200, "stale"), std::string("noise"), std::string(20'000, 'x')}) {
+        Peer client = sidecar.client();
+        client.send(debit("r1"));
+        Peer at_endpoint = endpoint.accept();
+        at_endpoint.receive();
+        at_endpoint.send(answer(200, "1") + more);
+        EXPECT_EQ(body_of(client.receive()), "1");
+        client.send(debit("r2"));
+        Peer next = endpoint.accept();  // the connection is not used again
+        EXPECT_TRUE(has(next.receive(), "X-Request-ID: r2"));
+        next.send(answer(200, "2"));
+        EXPECT_EQ(body_of(client.receive()), "2");
+        client.send(debit("r3"));
+        EXPECT_TRUE(has(next.receive(), "X-Request-ID: r3"));
+        next.send(answer(200, "3"));
+        EXPECT_EQ(body_of(client.receive()), "3");
+        next.send(more);  // while it carries nothing
+        EXPECT_TRUE(next.ends());
+    }
+}
+
 TEST(Sidecar, ConnectionThatIsRefusedProvesThatNothingRan) {
     Listener discovery, closed, open;
     closed.close();
@@ -514,6 +559,76 @@
     EXPECT_EQ(body_of(client.receive()), "1");
 }
 
+TEST(Discovery, MovesOnSighupAtOnceKeepsItsListAndAsksForTheWholeOne) {
+    Listener discovery, moved, first, second;
+    const std::string known = target("s-1", first.address());
+    Sidecar sidecar(config(discovery.address(), known, "automatic"));
+    Peer old_watch = discovery.accept();
+    EXPECT_TRUE(has(old_watch.receive(), "since=41&"));
+    Peer client = sidecar.client();
+    client.send(look("r1"));
+    Peer at_first = first.accept();
+    at_first.receive();
+    sidecar.reload(config(moved.address(), known, "automatic"));
+    EXPECT_TRUE(old_watch.ends());
+    Peer watch = moved.accept();
+    // The old revision may mean anything to the new agent.
+    EXPECT_TRUE(watch.receive().starts_with("GET /api/targets HTTP/1.1\r\n"));
+    at_first.send(answer(200, "1"));  // what was under way goes on
+    EXPECT_EQ(body_of(client.receive()), "1");
+    client.send(look("r2"));  // and the list and the connections stay
+    EXPECT_TRUE(has(at_first.receive(), "X-Request-ID: r2"));
+    at_first.send(answer(200, "2"));
+    EXPECT_EQ(body_of(client.receive()), "2");
+    watch.send(answer(200, list(3, true, target("s-2", second.address()))));
+    EXPECT_TRUE(has(watch.receive(), "since=3&"));
+    EXPECT_TRUE(at_first.ends());
+    client.send(look("r3"));
+    Peer at_second = second.accept();
+    EXPECT_TRUE(has(at_second.receive(), "X-Request-ID: r3"));
+}
+
+TEST(Discovery, ChangesFromANewAgentAreNoUseBeforeItsWholeList) {
+    Listener discovery, moved, first;
+    const std::string known = target("s-1", first.address());
+    Sidecar sidecar(config(discovery.address(), known, "automatic"));
+    Peer old_watch = discovery.accept();
+    old_watch.receive();
+    sidecar.reload(config(moved.address(), known, "automatic"));
+    Peer watch = moved.accept();
+    watch.receive();
+    watch.send(answer(200, list(44, false, target("s-1", first.address(), "Gone"))));
+    EXPECT_TRUE(watch.ends());
+    Peer again = moved.accept();
+    EXPECT_TRUE(again.receive().starts_with("GET /api/targets HTTP/1.1\r\n"));
+    Peer client = sidecar.client();
+    client.send(look("r1"));
+    Peer at_first = first.accept();
+    EXPECT_TRUE(has(at_first.receive(), "X-Request-ID: r1"));
+}
+
+TEST(Discovery, BadNewConfigurationIsOneLineOfLogAndTheOldOneStays) {
+    Listener discovery, moved, first;
+    const std::string good = config(discovery.address(), target("s-1", first.address()), "automatic");
+    Sidecar sidecar(good);
+    Peer watch = discovery.accept();
+    watch.receive();
+    const std::pair<std::string, std::string> bad[] = {
+        {"{", "PROXY_CONFIG"},
+        {config("nowhere", "", "automatic"), "'discovery'"},
+        {config(moved.address(), "", "never"), "'discovery'"},
+    };
+    for (const auto& [text, word] : bad) {
+        sidecar.reload(text);
+        EXPECT_TRUE(has(sidecar.await_log("the old configuration stays"), word));
+    }
+    sidecar.reload(good);  // names the same address: nothing moves
+    EXPECT_TRUE(watch.silent());
+    EXPECT_TRUE(moved.untouched());
+    watch.send(answer(200, list(45, false, "")));
+    EXPECT_TRUE(has(watch.receive(), "since=45&"));
+}
+
 // ---- the life of the process ----------------------------------------------------------------------
 
 TEST(Sidecar, IsReadyOnceItKnowsAnEndpoint) {
