Time silent and half-sent clients from the connect; serve open connections after SIGTERM; own faults are Moot

Now open connections are served until 1.5 s before all answers are due, and what is taken meanwhile has a deadline before SIGKILL. (2) Clients that say nothing had no limit, half-sent requests 10 s and could not be closed to make room; the search for one made a syscall per client. Those without a request under way now stand in a list of their own, oldest first, and 2.5 s count from the connect. (3) Lengths that can be read in two ways: Beast 1.74 refuses Content-Length beside Transfer-Encoding, but takes equal lengths twice and reads no body for a coding other than chunked: refused in framed_clearly(). (4) A full pool and EMFILE were told as the endpoint's connect failure; they are Moot now, and Moot teaches the module nothing of a server. (5) The module counted connections as idle that an answer had ended: Outcome::kept.

--- a/include/loftfront/balancer.h
+++ b/include/loftfront/balancer.h
@@ -177,6 +177,7 @@
     Duration latency{};
     bool last = false;  ///< the request is over; nothing is owed any more
     std::optional<LoadReport> report;
+    bool kept = true;  ///< of an answer: its connection can carry another
 };
 /// The client left; the request is over.
 struct Lapsed {
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -467,6 +467,7 @@
     void learn(const Call& call, const Outcome& outcome) {
         const RequestClass& rules = settings.classes[call.request.class_index];
         ClassView& view = views[call.request.class_index];
+        if (outcome.status == Status::Moot) return;  // nothing went out: it tells nothing of the server
         if (const auto server = servers.find(outcome.endpoint); server != servers.end()) {
             look(server->second, view, outcome);
         }
@@ -570,7 +571,7 @@
         if (may_still_run(outcome.status)) call.rest_until = now + settings.rules.turn_gap;
         if (const auto server = servers.find(attempt.to.id); server != servers.end()) {
             const bool answered = outcome.status == Status::Ok || outcome.status == Status::Error;
-            if (answered) server->second.idle.push_back(now);
+            if (answered && outcome.kept) server->second.idle.push_back(now);
             if (answered || may_still_run(outcome.status)) watch_silence(attempt, !answered);
             auto& sent = server->second.out;
             sent.erase(
--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -20,12 +20,20 @@
 
 constexpr std::size_t kMostId = 128;
 constexpr std::int64_t kMostTimeoutMs = 24 * 3600 * 1000;
-constexpr Duration kOnTheWay = 5ms;       // an answer sent later than this before the client's end misses it
-constexpr Duration kRequestTime = 10s;    // a request must be whole in this time from its first byte
-constexpr Duration kLingerTime = 1s;      // for the client to read the last answer and close
-constexpr Duration kAcceptAgain = 20ms;   // after running out of descriptors
-constexpr Duration kLastCall = 450ms;     // connections come for 0.4 s after SIGTERM
-constexpr Duration kLastRequest = 200ms;  // and the requests on them
+constexpr Duration kOnTheWay = 5ms;        // an answer sent later than this before the client's end misses it
+constexpr Duration kRequestTime = 2500ms;  // a request must be whole in this time from its first byte, the
+                                           // first on a connection from the connect; 3 s are owed
+constexpr Duration kIdleTime = 15s;        // a connection between requests is kept for this long
+constexpr Duration kAnswerTime = 10s;      // for the client to read an answer
+constexpr int kMostLooks = 8;              // at connections, to find one that can make room
+constexpr Duration kLingerTime = 1s;       // for the client to read the last answer and close
+constexpr Duration kAcceptAgain = 20ms;    // after running out of descriptors
+constexpr Duration kLastCall = 450ms;      // connections come for 0.4 s after SIGTERM
+constexpr Duration kLastRequest = 200ms;   // and the requests on them
+constexpr Duration kKilledAfter = 700ms;   // SIGKILL comes this much later than the longest deadline
+constexpr Duration kKilledMost = 3s;       // of which no more than this counts
+constexpr Duration kKilledSlack = 150ms;   // all answers are out by this much before it
+constexpr Duration kLastAnswers = 1500ms;  // and no more requests are wanted by this much before that
 
 std::optional<std::int64_t> whole_number(boost::beast::string_view text) {
     std::int64_t value = 0;
@@ -41,6 +49,18 @@
     return value;
 }
 
+/// Whether the length of the body is told in one way that all read alike. Guards against a second request
+/// hidden in the body: Boost 1.74 refuses Content-Length beside Transfer-Encoding and lengths that differ,
+/// but takes the same length twice, and reads no body where a coding other than chunked is named.
+bool framed_clearly(const Message& message) {
+    const auto lengths = message.count(http::field::content_length);
+    const auto codings = message.count(http::field::transfer_encoding);
+    if (lengths + codings > 1) return false;
+    const auto length = message[http::field::content_length];
+    if (length.find(',') != length.npos) return false;
+    return codings == 0 || boost::beast::iequals(message[http::field::transfer_encoding], "chunked");
+}
+
 /// The event that a message stands for, or the status that turns it away.
 std::variant<Request, http::status> read_request(const Message& message, const Settings& settings,
                                                  Time arrived) {
@@ -113,22 +133,25 @@
     void start(Callers::Clients::iterator place) {
         place_ = place;
         next_request();
+        limit_.set(Loop::now() + kRequestTime, [self = shared_from_this()] { self->close(); });
         read();
     }
-    /// Between requests: no byte of the next has come, not even unread. Guards against closing a connection
-    /// under a request that counts as taken.
-    bool idle() const {
+    /// Nothing of it is waiting to be read. Guards against closing a connection under a request that has come
+    /// whole and counts as taken.
+    bool silent() const {
         error_code error;
-        return stage_ == Stage::Reading && !parser_->got_some() && buffer_.size() == 0 &&
-               socket_.available(error) == 0;
+        return socket_.available(error) == 0;
+    }
+    /// Silent, and no byte of a next request has been read either.
+    bool idle() const {
+        return stage_ == Stage::Reading && !parser_->got_some() && buffer_.size() == 0 && silent();
     }
-    bool used() const { return used_; }
     void close() {
         if (std::exchange(stage_, Stage::Closed) == Stage::Closed) return;
         limit_.cancel();
         error_code ignored;
         socket_.close(ignored);
-        callers_.closed(place_);
+        callers_.closed(in_busy_ ? callers_.busy_ : callers_.waiting_, place_);
     }
 
   private:
@@ -136,10 +159,18 @@
 
     void next_request() {
         stage_ = Stage::Reading;
-        limit_.cancel();
+        move(false);
         renew(parser_);
     }
 
+    /// To the end of the list of those with a request under way, or of the others.
+    void move(bool busy) {
+        auto& from = in_busy_ ? callers_.busy_ : callers_.waiting_;
+        auto& to = busy ? callers_.busy_ : callers_.waiting_;
+        to.splice(to.end(), from, place_);
+        in_busy_ = busy;
+    }
+
     void read() {
         if (stage_ == Stage::Closed || reading_ || buffer_.size() > kMostHeader) return;
         reading_ = true;
@@ -165,7 +196,9 @@
     void parse() {
         if (stage_ != Stage::Reading || buffer_.size() == 0) return;
         if (!parser_->got_some()) {
-            limit_.set(Loop::now() + kRequestTime, [self = shared_from_this()] {
+            // The first request's time began with the connection.
+            const Time from = used_ ? Loop::now() : connected_;
+            limit_.set(from + kRequestTime, [self = shared_from_this()] {
                 self->turn_away(http::status::request_timeout, false);
             });
         }
@@ -181,17 +214,24 @@
     void taken() {
         limit_.cancel();
         used_ = true;
-        callers_.clients_.splice(callers_.clients_.end(), callers_.clients_, place_);
+        move(true);
         auto message = std::make_shared<Message>(parser_->release());
         const bool keep = message->keep_alive();
+        if (!framed_clearly(*message)) return turn_away(http::status::bad_request, false);
         if (message->target() == "/-/ready") {
             if (message->method() != http::verb::get)
                 return turn_away(http::status::method_not_allowed, keep);
             const bool ready = callers_.ready_() && !callers_.draining();
-            return turn_away(ready ? http::status::ok : http::status::service_unavailable, keep);
+            return turn_away(ready ? http::status::ok : http::status::service_unavailable,
+                             keep && !callers_.draining());
         }
         auto request = read_request(*message, callers_.settings_, Loop::now() - since_arrival());
         if (const auto* status = std::get_if<http::status>(&request)) return turn_away(*status, keep);
+        if (callers_.draining()) {
+            // Guards against an answer that is still owed when SIGKILL comes.
+            Time& deadline = std::get<Request>(request).deadline;
+            deadline = std::min(deadline, callers_.answers_end_);
+        }
         strip_hop_headers(*message);
         keep_ = keep;
         stage_ = Stage::Waiting;
@@ -233,9 +273,9 @@
 
     void write(Reply&& reply, bool keep) {
         stage_ = Stage::Writing;
-        limit_.set(Loop::now() + kRequestTime, [self = shared_from_this()] { self->close(); });
+        limit_.set(Loop::now() + kAnswerTime, [self = shared_from_this()] { self->close(); });
         reply_ = std::move(reply);
-        reply_.keep_alive(keep && !callers_.draining());
+        reply_.keep_alive(keep && !callers_.closing());
         reply_.prepare_payload();
         http::async_write(socket_, reply_, [self = shared_from_this()](const error_code& error, std::size_t) {
             if (self->stage_ == Stage::Closed) return;
@@ -243,6 +283,7 @@
             if (!self->reply_.keep_alive()) return self->linger();
             self->reply_ = {};
             self->next_request();
+            self->limit_.set(Loop::now() + kIdleTime, [self] { self->close(); });
             self->parse();
             // Guards against a full house in which nobody leaves: who waits outside may need this one's
             // place.
@@ -255,6 +296,7 @@
     /// of the client's are still unread.
     void linger() {
         stage_ = Stage::Lingering;
+        move(false);
         error_code error;
         socket_.shutdown(asio::socket_base::shutdown_send, error);
         buffer_.clear();
@@ -268,7 +310,8 @@
     boost::beast::flat_buffer buffer_;
     Callers::Clients::iterator place_;
     Stage stage_ = Stage::Reading;
-    bool reading_ = false, keep_ = false, used_ = false;
+    const Time connected_ = Loop::now();
+    bool reading_ = false, keep_ = false, used_ = false, in_busy_ = false;
     std::optional<Parser<true>> parser_;
     RequestId id_;
     Reply reply_;
@@ -292,7 +335,7 @@
 
 void Callers::accept() {
     if (accepting_ || !acceptor_.is_open()) return;
-    if (clients_.size() >= most_ && !make_room()) return;  // goes on when one closes
+    if (full()) return make_room();  // goes on when one closes
     accepting_ = true;
     acceptor_.async_accept([this](const error_code& error, asio::ip::tcp::socket socket) {
         accepting_ = false;
@@ -312,31 +355,35 @@
         error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         const auto client = std::make_shared<Client>(*this, std::move(socket));
-        client->start(clients_.insert(clients_.end(), client));
+        client->start(waiting_.insert(waiting_.end(), client));
     }
     accept();
 }
 
-/// Closes the client's connection that has been idle longest.
-bool Callers::make_room() {
-    for (const auto& entry : clients_) {
-        if (const auto client = entry.lock(); client && client->idle()) {
-            client->close();
-            return true;
+/// Closes the connection that has gone longest without a whole request: one that is between requests, says
+/// nothing, or sends its request too slowly. Guards against a house full of such clients that keeps out those
+/// who want something.
+void Callers::make_room() {
+    for (int looks = 0; looks < kMostLooks && !waiting_.empty(); ++looks) {
+        if (const auto client = waiting_.front().lock(); client && client->silent()) {
+            return client->close();
         }
+        waiting_.splice(waiting_.end(), waiting_, waiting_.begin());  // its turn to be read comes first
     }
-    return false;
 }
 
-void Callers::closed(Clients::iterator place) {
-    clients_.erase(place);
-    if (drained_ && last_call_over_ && clients_.empty()) return drained_();
+void Callers::closed(Clients& among, Clients::iterator place) {
+    among.erase(place);
+    if (closing_ && empty()) return drained_();
     accept();
 }
 
 void Callers::drain(std::function<void()> done) {
     if (drained_) return;
     drained_ = std::move(done);
+    Duration longest{};
+    for (const RequestClass& c : settings_.classes) longest = std::max(longest, c.deadline);
+    answers_end_ = Loop::now() + std::min(longest, kKilledMost) + kKilledAfter - kKilledSlack;
     quiet_.set(Loop::now() + kLastCall, [this] { stop_accepting(); });
 }
 
@@ -344,19 +391,17 @@
     // What the kernel has accepted by now is taken over first; the loop has run all that was ready.
     error_code ignored;
     acceptor_.close(ignored);
-    const auto close_idle = [this](bool also_new) {
-        for (const auto& entry : Clients(clients_)) {
-            if (const auto client = entry.lock(); client && client->idle() && (also_new || client->used())) {
-                client->close();
-            }
-        }
-    };
-    close_idle(false);
-    quiet_.set(Loop::now() + kLastRequest, [this, close_idle] {
-        close_idle(true);
-        last_call_over_ = true;
-        if (clients_.empty()) drained_();
-    });
+    // Clients go on using open connections, and there may be nobody else to turn to while a fleet restarts:
+    // these are served for as long as their answers will be in time.
+    quiet_.set(std::max(Loop::now() + kLastRequest, answers_end_ - kLastAnswers), [this] { stop_serving(); });
+}
+
+void Callers::stop_serving() {
+    closing_ = true;
+    for (const auto& entry : Clients(waiting_)) {
+        if (const auto client = entry.lock(); client && client->idle()) client->close();
+    }
+    if (empty()) drained_();
 }
 
 }  // namespace martenford
--- a/src/net/callers.h
+++ b/src/net/callers.h
@@ -24,6 +24,8 @@
     /// Where it listens: the port is the system's choice where the configuration says 0.
     Address listens_at() const { return acceptor_.local_endpoint(); }
     bool draining() const { return static_cast<bool>(drained_); }
+    /// Whether connections are given up after their answer.
+    bool closing() const { return closing_; }
 
   private:
     friend class Client;
@@ -31,9 +33,12 @@
 
     void accept();
     void accepted(const boost::system::error_code& error, asio::ip::tcp::socket socket);
-    bool make_room();
-    void closed(Clients::iterator place);
+    void make_room();
+    void closed(Clients& among, Clients::iterator place);
     void stop_accepting();
+    void stop_serving();
+    bool full() const { return waiting_.size() + busy_.size() >= most_; }
+    bool empty() const { return waiting_.empty() && busy_.empty(); }
 
     Loop& loop_;
     Engine& engine_;
@@ -41,11 +46,13 @@
     std::size_t most_;
     std::function<bool()> ready_;
     asio::ip::tcp::acceptor acceptor_;
-    Clients clients_;  // in the order of their last request, the latest last
+    Clients waiting_;  // those with no request under way, in the order in which they began to wait
+    Clients busy_;     // and the others, which are never closed to make room
     bool accepting_ = false;
     Timer again_, quiet_;
     std::function<void()> drained_;
-    bool last_call_over_ = false;
+    Time answers_end_{};  // after SIGTERM: when all that is taken must be answered
+    bool closing_ = false;
 };
 
 }  // namespace martenford
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -104,7 +104,7 @@
     const std::size_t number = call.attempts.size();
     call.attempts.push_back({{}, now});
     if (!call.reply || now >= call.deadline || number >= limits_.max_attempts) {
-        return ended(send.id, number, send.endpoint, Result{Status::Moot, {}, {}});
+        return ended(send.id, number, send.endpoint, Result{Status::Moot});
     }
     const Time end = send.timeout == Duration{} ? call.deadline : std::min(call.deadline, now + send.timeout);
     const auto handle =
@@ -128,7 +128,8 @@
                     result.status,
                     Loop::now() - call.attempts[number].sent,
                     false,
-                    std::nullopt};
+                    std::nullopt,
+                    result.kept};
     if (result.status == Status::Ok) {
         complete(id,
                  Answer{Answer::Kind::Served, std::move(result.body), std::move(result.content_type), {}});
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -17,6 +17,13 @@
 constexpr int kMostInterim = 16;    // answers 1xx ahead of the one that counts
 constexpr double kIdleShare = 0.8;  // of the endpoint's idle limit: it may close from there on, unseen by us
 
+/// Whether a connect failed for want of something of our own.
+bool own_fault(const error_code& error) {
+    return error == asio::error::no_descriptors || error == asio::error::no_memory ||
+           error == asio::error::no_buffer_space || error == boost::system::errc::address_not_available ||
+           error == boost::system::errc::too_many_files_open_in_system;
+}
+
 Status classify(const http::response<http::string_body>& answer) {
     if (answer.result_int() == 200) return Status::Ok;
     const bool turned_away = answer.result_int() == 503 || answer.result_int() == 504;
@@ -92,7 +99,7 @@
         socket_.async_connect(address, [self = shared_from_this()](const error_code& error) {
             if (self->stage_ != Stage::Connecting) return;
             self->limit_.cancel();
-            if (error) return self->finish(Status::ConnectFailed);
+            if (error) return self->finish(own_fault(error) ? Status::Moot : Status::ConnectFailed);
             error_code ignored;
             self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
             self->read();
@@ -178,7 +185,8 @@
         end_.cancel();
         auto done = std::exchange(done_, nullptr);
         release();
-        if (keep && pool_.keeps(*this)) {
+        result.kept = keep && pool_.keeps(*this);
+        if (result.kept) {
             stage_ = Stage::Idle;
             idle_since = Loop::now();
             if (const Duration most = pool_.limits_.connection_idle; most > Duration{}) {
@@ -199,7 +207,7 @@
         const auto self = shared_from_this();
         close();
         release();
-        if (done) done(Result{status, {}, {}});
+        if (done) done(Result{status});
     }
 
     void drop() {
@@ -264,7 +272,8 @@
     const auto pool = pools_.find(id);
     auto connection = pool == pools_.end() ? nullptr : take(id, pool->second);
     if (!connection) {
-        done(Result{Status::ConnectFailed, {}, {}});
+        // Guards against blaming the endpoint for our own lack of places, or for having left the list.
+        done(Result{Status::Moot});
         return {};
     }
     connection->start(std::move(message), std::move(outgoing), end, std::move(done));
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -17,8 +17,9 @@
 /// How an attempt or a probe ended.
 struct Result {
     loftfront::Status status = loftfront::Status::Error;
-    std::string body;          ///< of an answer 200
-    std::string content_type;  ///< and its type, where it gives one
+    std::string body{};          ///< of an answer 200
+    std::string content_type{};  ///< and its type, where it gives one
+    bool kept = false;           ///< the connection can carry another
 };
 
 class Connection;
