An overdue attempt ends and goes again where harmless; what waits alone is no queue

A silent attempt at a deep tier holds one at each tier above. Cause: try_send sets no end but the deadline; sheds() counts all in flight in coming_back, and learn() takes a time-out for a full queue. Ruled out: clients that leave (0 to 120 ms after asking, so they are not the time-outs; their attempts come back like any other, so they are load, and ending them would cost a connection each); the age of connections (57 reused and 21 fresh; first use or fortieth); Retry-After, which this site's settings don't allow.

Mend, in the module: an attempt out for five times what its class takes is ended and goes again where its class allows that, for a retry's tokens and only while calls hardly wait. Overdue attempts at an endpoint that has since served a later call quickly count neither as coming back nor as pressure.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -44,8 +44,10 @@
 constexpr double kShedWidth = 0.15;    // over which shedding grows from none to all: a jam must not build up
 constexpr double kSilenceFew = 0.15;   // share of calls met with silence from which connections are suspected
 constexpr double kSilenceApart = 2.0;  // idle connections are closed where they meet this much more silence
-constexpr int kAskSpread = 2;          // first subscriptions spread over ask_every / this
-constexpr int kAskBase = 10;           // and failed ones wait from ask_every / this on
+constexpr double kOverdue = 5.0;  // times what a class usually takes: an attempt out for longer is overdue
+constexpr double kCalm = 0.1;     // pressure up to which an overdue attempt is no sign of a queue
+constexpr int kAskSpread = 2;     // first subscriptions spread over ask_every / this
+constexpr int kAskBase = 10;      // and failed ones wait from ask_every / this on
 
 /// Served calls earn, retries spend.
 class RetryBudget {
@@ -146,13 +148,21 @@
     double gap_ = 0.0;  // between served calls, averaged
 };
 
+/// An attempt on its way.
+struct Sent {
+    Time at{};
+    std::size_t class_index = 0;
+    Duration usual{};  // how long the class took by then
+};
+
 struct Server {
     Endpoint told;
-    std::vector<std::pair<Time, Duration>> out;  // own attempts: when sent, how long the class usually takes
-    std::vector<Time> idle;                      // connections that carry nothing, by when that began
-    double slow = 1.0;                           // its latency against what is usual
-    double bad = 0.0;                            // share of its answers that failed, lately
+    std::vector<Sent> out;   // own attempts
+    std::vector<Time> idle;  // connections that carry nothing, by when that began
+    double slow = 1.0;       // its latency against what is usual
+    double bad = 0.0;        // share of its answers that failed, lately
     Time heard{};
+    Time quick_sent{};         // the newest call that it has served without being overdue
     double cold_tokens = 0.0;  // earned by served calls while it is cold
 };
 
@@ -172,6 +182,7 @@
     bool open = true;   // an answer is owed
     bool held = false;  // waits for its timer, for a server or for its turn
     bool paid = false;  // a retry's tokens were taken and it has not been sent yet
+    Time overdue_at{};  // from when on the newest attempt is overdue
     Time held_until{};  // an earlier timer of this call has outlived its purpose; hosts round within a tick
     Time rest_until{};  // its key rests: an attempt may have gone on after its outcome
 };
@@ -303,7 +314,7 @@
     /// does not crowd a few servers.
     std::size_t reach() const {
         const std::size_t even = kCallers * ring.size() / settings.replicas;
-        return std::max({kReach, even, static_cast<std::size_t>(total_in_flight)});
+        return std::max({kReach, even, static_cast<std::size_t>(total_in_flight - alone_out())});
     }
 
     /// The ready servers in this instance's own order: replicas start evenly spread around the ring.
@@ -432,20 +443,49 @@
         // the earlier sign. Guards against jams that show too late in a few answers a second.
         const double waits = pressure.value(now), calm = 1.0 - waits / (kShedFrom + kShedSpread);
         const Duration coming_back =
-            served_rate.time_for(total_in_flight, kRateChance * std::max(0.0, calm), now);
+            served_rate.time_for(total_in_flight - alone_out(), kRateChance * std::max(0.0, calm), now);
         const double coming = room > Duration{} ? ratio(coming_back - view.floor, room) : 0.0;
         return random.unit() * kShedWidth < std::max(waits, coming) - from;
     }
 
+    /// How long an attempt is out before it is overdue.
+    Duration patience(std::size_t class_index) const {
+        const Duration usual = views[class_index].usual;
+        if (usual == Duration{}) return settings.classes[class_index].aim / 2;  // the rest is for the second
+        return std::max(scaled(usual, kOverdue),
+                        kBackoffBase);  // sooner than a retry would come saves nothing
+    }
+
+    /// Whether an attempt waits alone: it is overdue, and its server has served a later one quickly. Guards
+    /// against taking what will never be answered (a connection that fell silent, an answer that stops short,
+    /// a call that the server lost) for a queue, and refusing good work for it: in a queue all wait, and what
+    /// is usual grows with it. It does harm where a server serves the newest first, or most of its calls
+    /// quickly and hardly ever some: their queue is overlooked.
+    bool alone(const Server& server, Time sent, std::size_t class_index) const {
+        return server.quick_sent > sent && now - sent > patience(class_index);
+    }
+    /// How many wait alone. Where calls are seen to wait they count like any other.
+    int alone_out() const {
+        if (pressure.value(now) > kCalm) return 0;
+        std::ptrdiff_t count = 0;
+        for (const auto& [id, server] : servers) {
+            count += std::count_if(
+                server.out.begin(), server.out.end(),
+                [&, &server = server](const Sent& s) { return alone(server, s.at, s.class_index); });
+        }
+        return static_cast<int>(count);
+    }
+
     void look(Server& server, const ClassView& view, const Outcome& outcome) {
-        const bool answered = outcome.status == Status::Ok;
+        const bool answered = outcome.status == Status::Ok, ended = outcome.status == Status::Cancelled;
         const double fade = fading(server);
         server.slow = 1.0 + (server.slow - 1.0) * fade;
         server.bad = server.bad * fade;
-        if ((answered || outcome.status == Status::Timeout) && view.usual > Duration{}) {
+        if ((answered || ended || outcome.status == Status::Timeout) && view.usual > Duration{}) {
             server.slow += (ratio(outcome.latency, view.usual) - server.slow) * kViewGain;
         }
-        server.bad += ((answered ? 0.0 : 1.0) - server.bad) * kViewGain;
+        // One that was ended here for being overdue has been slow until then; nothing has failed.
+        if (!ended) server.bad += ((answered ? 0.0 : 1.0) - server.bad) * kViewGain;
         server.heard = now;
     }
 
@@ -457,19 +497,26 @@
         double slow = 1.0 + (server.slow - 1.0) * fade;
         // A call that is overdue tells as much as one that came back late. Guards against a server that
         // stands still, vanished or lost its connections unseen: it gives no answers to go by.
-        for (const auto& [sent, usual] : server.out) {
-            if (usual > Duration{}) slow = std::max(slow, ratio(now - sent, usual));
+        for (const Sent& sent : server.out) {
+            if (sent.usual > Duration{}) slow = std::max(slow, ratio(now - sent.at, sent.usual));
         }
         const double calls = static_cast<double>(server.out.size() + 1) / std::max(server.told.weight, 0.1);
         return calls * std::max(0.1, slow) * (1.0 + kBadWeight * server.bad * fade);
     }
 
-    void learn(const Call& call, const Outcome& outcome) {
-        const RequestClass& rules = settings.classes[call.request.class_index];
-        ClassView& view = views[call.request.class_index];
+    void learn(const Call& call, Time sent, const Outcome& outcome) {
+        const std::size_t index = call.request.class_index;
+        const RequestClass& rules = settings.classes[index];
+        ClassView& view = views[index];
         if (outcome.status == Status::Moot) return;  // nothing went out: it tells nothing of the server
+        bool waits = true;
         if (const auto server = servers.find(outcome.endpoint); server != servers.end()) {
+            const bool in_time = now - sent <= patience(index);
+            if (outcome.status == Status::Timeout && alone(server->second, sent, index)) waits = false;
             look(server->second, view, outcome);
+            if (outcome.status == Status::Ok && in_time) {
+                server->second.quick_sent = std::max(server->second.quick_sent, sent);
+            }
         }
         if (outcome.status == Status::Full) return pressure.see(1.0, now);
         if (outcome.status == Status::Ok) {
@@ -480,7 +527,7 @@
             return;
         }
         const Duration room = rules.aim - view.floor;
-        if (room > Duration{}) pressure.see(ratio(outcome.latency - view.floor, room), now);
+        if (room > Duration{} && waits) pressure.see(ratio(outcome.latency - view.floor, room), now);
     }
 
     void try_send(std::uint64_t number) {
@@ -492,7 +539,8 @@
             if (again) ration.sent(now);
             call.paid = false;
             server->cold_tokens -= ramp_share(*server) < 1.0 ? 1.0 : 0.0;
-            server->out.emplace_back(now, views[call.request.class_index].usual);
+            const std::size_t index = call.request.class_index;
+            server->out.push_back({now, index, views[index].usual});
             if (++total_in_flight == 1) served_rate.busy(now);
             call.attempts.push_back({server->told, now, take_connection(*server)});
             // Between tiers given up once the answer is worth nothing: a silent server must not hold the slot
@@ -500,6 +548,10 @@
             Duration limit{};
             if (settings.tier > 0) limit = std::max(worthwhile(call.request), settings.tick);
             out->push_back(Send{call.request.id, server->told.id, limit});
+            if (settings.limits.may_cancel) {
+                call.overdue_at = now + patience(index);
+                out->push_back(SetTimer{call.overdue_at, number});
+            }
         } else if (const Time until = may_wait_until(number, call); !again && now < until) {
             hold(number, call, until);  // no server known yet, or not its turn
         } else {
@@ -552,11 +604,32 @@
         if (timer.token == kDiscoveryToken) {
             out->push_back(Subscribe{});
         } else if (const auto it = calls.find(timer.token); it != calls.end()) {
-            if (it->second.held && now + settings.tick >= it->second.held_until) return try_send(timer.token);
+            Call& call = it->second;
+            if (call.held && now + settings.tick >= call.held_until) return try_send(timer.token);
+            if (!call.attempts.empty() && now + settings.tick >= call.overdue_at) end_overdue(call);
             forget_if_over(timer.token);
         }
     }
 
+    /// Ends an attempt that is out for too long, where another may still come back in time; its outcome
+    /// brings the retry. Guards against waiting until the deadline for whatever never answers. Two bounds
+    /// keep it from adding work where all is slow: it acts only while calls hardly wait, and the retry's
+    /// tokens are taken first. It does harm where the answer was about to come: a class of very uneven calls
+    /// pays twice.
+    void end_overdue(Call& call) {
+        const auto newest = call.attempts.size() - 1;
+        if (!call.attempts[newest].out || pressure.value(now) > kCalm) return;
+        // Nobody waits for the others any more: they may end, whether or not they could go again.
+        if (call.open) {
+            const Duration usual = views[call.request.class_index].usual;
+            const bool in_time = worthwhile(call.request) > usual + kDeadlineBuffer;
+            if (!in_time || call.attempts.size() >= settings.limits.max_attempts) return;
+            if (!may_repeat(call) || !budget.spend()) return;
+            call.paid = true;
+        }
+        out->push_back(Cancel{call.request.id, static_cast<AttemptNumber>(newest)});
+    }
+
     void on(const Outcome& outcome) {
         const auto known = numbers.find(outcome.id);
         if (known == numbers.end()) return;
@@ -575,9 +648,9 @@
             if (answered || may_still_run(outcome.status)) watch_silence(attempt, !answered);
             auto& sent = server->second.out;
             sent.erase(
-                std::find_if(sent.begin(), sent.end(), [&](auto& s) { return s.first == attempt.sent; }));
+                std::find_if(sent.begin(), sent.end(), [&](const Sent& s) { return s.at == attempt.sent; }));
         }
-        learn(call, outcome);
+        learn(call, attempt.sent, outcome);
         if (outcome.status == Status::Ok) {
             budget.earn();
             served_rate.served(now);
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -361,6 +361,52 @@
     EXPECT_TRUE(endpoint.untouched());
 }
 
+/// An endpoint says no more than this to a request that may be repeated.
+void expect_second_attempt(Sidecar& sidecar, Listener& endpoint, const std::string& said) {
+    Peer client = sidecar.client();
+    client.send(look("r1"));
+    Peer silent = endpoint.accept();
+    EXPECT_TRUE(has(silent.receive(), "X-Request-ID: r1\r\n"));
+    silent.send(said);
+    ASSERT_TRUE(silent.ends());  // the first is over before the second begins
+    Peer second = endpoint.accept();
+    EXPECT_TRUE(has(second.receive(), "X-Request-ID: r1\r\n"));
+    second.send(answer(200, "again"));
+    const std::string reply = client.receive();
+    EXPECT_EQ(status_of(reply), 200);
+    EXPECT_EQ(body_of(reply), "again");
+}
+TEST_F(OneEndpoint, OverdueAttemptIsEndedAndGoesAgain) {
+    expect_second_attempt(sidecar, endpoint, "");
+}
+TEST_F(OneEndpoint, AnswerThatStopsShortIsEndedAndGoesAgain) {
+    expect_second_attempt(sidecar, endpoint, "HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nhal");
+}
+
+TEST_F(OneEndpoint, UnsafeRequestsMetWithSilenceGoOnceAndAreTakenForNoQueue) {
+    std::vector<Peer> clients, silent;
+    for (int i = 0; i < 8; ++i) {
+        clients.push_back(sidecar.client());
+        clients.back().send(debit("d" + std::to_string(i), 1500));
+        silent.push_back(endpoint.accept());
+        EXPECT_TRUE(has(silent.back().receive(), "X-Request-ID: d"));
+    }
+    Peer client = sidecar.client();
+    client.send(look("r1"));
+    Peer quick = endpoint.accept();
+    quick.receive();
+    quick.send(answer(200, "1"));
+    EXPECT_EQ(body_of(client.receive()), "1");
+    for (Peer& waits : clients) EXPECT_EQ(status_of(waits.receive()), 502);
+    EXPECT_TRUE(endpoint.untouched());
+    for (int i = 0; i < 5; ++i) {
+        client.send(look("after" + std::to_string(i)));
+        quick.receive();
+        quick.send(answer(200, "2"));
+        EXPECT_EQ(status_of(client.receive()), 200) << "refused for the time that others waited";
+    }
+}
+
 TEST_F(OneEndpoint, NothingNewGoesOutOnceTheClientHasGone) {
     Peer client = sidecar.client();
     client.send(look("r1"));
