--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -908,6 +908,61 @@
     EXPECT_EQ(closes_in_calls(60, false, true), 0);
 }
 
+// ---- overdue attempts -----------------------------------------------------------------------------
+
+/// Asks for a call that is served within 10 ms.
+void serve_one(Rig& rig, const RequestId& id) {
+    const auto sends = all_of<Send>(rig.request(id));
+    ASSERT_EQ(sends.size(), 1u);
+    rig.advance(10ms);
+    rig.outcome(sends[0], Status::Ok, 0, true);
+}
+
+TEST(Overdue, AttemptIsEndedAndItsCallGoesElsewhere) {
+    Rig rig(plain());
+    rig.list(servers(2));
+    serve_one(rig, "quick");
+    const auto first = all_of<Send>(rig.request("slow"));
+    ASSERT_EQ(first.size(), 1u);
+    EXPECT_TRUE(all_of<Cancel>(rig.advance(90ms)).empty());
+    const auto ended = all_of<Cancel>(rig.advance(20ms));
+    ASSERT_EQ(ended.size(), 1u);
+    EXPECT_EQ(ended[0].id, "slow");
+    EXPECT_EQ(ended[0].attempt, 0u);
+    rig.outcome(first[0], Status::Cancelled, 0, false, 100ms);
+    const auto second = all_of<Send>(rig.advance(400ms));
+    ASSERT_EQ(second.size(), 1u);
+    EXPECT_NE(second[0].endpoint, first[0].endpoint);
+}
+
+TEST(Overdue, UnsafeCallWaitsOnUntilItsClientLeaves) {
+    Rig rig(plain(Effect::SingleShot));
+    rig.list(servers(2));
+    serve_one(rig, "quick");
+    ASSERT_EQ(all_of<Send>(rig.request("slow")).size(), 1u);
+    EXPECT_TRUE(all_of<Cancel>(rig.advance(2s)).empty());
+    ASSERT_EQ(all_of<Send>(rig.request("left")).size(), 1u);
+    rig.give(Lapsed{"left"});
+    const auto ended = all_of<Cancel>(rig.advance(200ms));
+    ASSERT_EQ(ended.size(), 1u);
+    EXPECT_EQ(ended[0].id, "left");
+}
+
+TEST(Overdue, CallsThatWaitAloneAreNoQueueAndOthersAre) {
+    for (const bool alone : {true, false}) {
+        Rig rig(plain(Effect::SingleShot));
+        rig.list(servers(1));
+        if (!alone) serve_one(rig, "before");
+        for (std::size_t i = 0; i < 6; ++i) {
+            ASSERT_EQ(all_of<Send>(rig.request(numbered("stuck", i))).size(), 1u);
+        }
+        rig.advance(1ms);
+        if (alone) serve_one(rig, "after");
+        rig.advance(1s);
+        EXPECT_EQ(all_of<Refuse>(rig.request("next")).size(), alone ? 0u : 1u);
+    }
+}
+
 // ---- load shedding and doomed work ----------------------------------------------------------------
 
 TEST(Shedding, CrowdedInstanceDeclinesTheLeastWorthFirstAndRecovers) {
