--- a/include/loftfront/balancer.h
+++ b/include/loftfront/balancer.h
@@ -162,6 +162,14 @@
     bool resent = false;
     std::optional<std::uint64_t> key;
     std::optional<Duration> work;  ///< what it is expected to cost
+    /// Its last bytes are still to come, and go to an endpoint as they do: `deadline` is the latest that it
+    /// can have until Received tells it. Attempts are of no weight before.
+    bool arriving = false;
+};
+/// All of a request that was arriving is here; the time that its client waits begins.
+struct Received {
+    RequestId id;
+    Time deadline{};
 };
 struct FirstByte {
     RequestId id;
@@ -196,8 +204,8 @@
     std::uint32_t from = 0;
     std::string data;
 };
-using Event =
-    std::variant<Discovered, Request, FirstByte, Outcome, Lapsed, TimerFired, ProbeResult, PeerMessage>;
+using Event = std::variant<Discovered, Request, FirstByte, Outcome, Lapsed, TimerFired, ProbeResult,
+                           PeerMessage, Received>;
 
 // ---- actions --------------------------------------------------------------------------------------
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -67,6 +67,9 @@
     result.name = text(top, "PROXY_NAME", "name");
     result.listen = address(top, "PROXY_LISTEN", "listen");
     result.discovery = address(top, "PROXY_DISCOVERY", "discovery");
+    const char* console = std::getenv("PROXY_CONSOLE");
+    if ((console && *console) || find(top, "console"))
+        result.console = address(top, "PROXY_CONSOLE", "console");
     result.seed = read_seed(top);
     if (find(top, "limits")) {
         result.sockets = u32_or(need_object(top, "limits"), "sockets", 1024);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -20,6 +20,7 @@
     std::string name;
     Address listen;
     Address discovery;
+    std::optional<Address> console;  ///< where operators call
     std::uint64_t seed = 0;
     std::size_t sockets = 1024;
     Names names;
--- /dev/null
+++ b/src/console/statsd.cpp
@@ -0,0 +1,43 @@
+#include "console/statsd.h"
+
+#include <fmt/format.h>
+
+#include <cmath>
+#include <iterator>
+#include <string_view>
+
+namespace martenford {
+
+namespace {
+
+struct Name {
+    std::string_view ours, told;
+};
+constexpr Name kNames[] = {
+    {"requests.served", "success"},     {"requests.refused", "busy"},
+    {"requests.failed", "failure"},     {"attempts.written", "backend_calls"},
+    {"requests.in_flight", "inflight"}, {"membership.endpoints", "hosts_listed"},
+    {"policy.avoided", "hosts_down"},
+};
+
+}  // namespace
+
+std::string statsd(const Counters& counters) {
+    std::string text;
+    for (const Counters::Entry& entry : counters.entries()) {
+        for (const Name& name : kNames) {
+            if (entry.name != name.ours) continue;
+            const std::string label = entry.label.empty() ? "" : "." + entry.label;
+            if (entry.gauge) {
+                fmt::format_to(std::back_inserter(text), "sidecar.{}{}:{}|g\n", name.told, label,
+                               std::llround(entry.gauge()));
+            } else {
+                fmt::format_to(std::back_inserter(text), "sidecar.{}{}:{}|c\n", name.told, label,
+                               entry.counter.value());
+            }
+        }
+    }
+    return text;
+}
+
+}  // namespace martenford
--- a/src/core/back.h
+++ b/src/core/back.h
@@ -2,10 +2,13 @@
 // sends anything again by itself.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "core/pipe.h"
 #include "core/scheduler.h"
 
 namespace martenford {
@@ -17,14 +20,18 @@
     Message(const Message&) = delete;
     Message& operator=(const Message&) = delete;
     virtual ~Message() = default;
+    /// Whether a further attempt could carry it: not once a part of it was handed on and let go.
+    virtual bool resendable() const { return true; }
 };
 
 /// How an attempt or a probe ended. Full, ConnectFailed and Moot prove that it never ran.
 struct Result {
     loftfront::Status status = loftfront::Status::Error;
-    std::string body{};          ///< of an answer that served
-    std::string content_type{};  ///< and its type, where it gives one
-    bool kept = false;           ///< the connection can carry another
+    std::string body{};                     ///< of an answer that served, or what has come of it
+    std::string content_type{};             ///< and its type, where it gives one
+    std::shared_ptr<Pipe> rest{};           ///< what follows the body; empty: it is whole
+    std::optional<std::uint64_t> length{};  ///< of the whole, where the answer says so
+    bool kept = false;                      ///< the connection can carry another
 };
 
 class Back {
@@ -36,8 +43,11 @@
         virtual ~Attempt() = default;
         /// Stops waiting: the outcome is Cancelled.
         virtual void cancel() = 0;
-        /// Ends an attempt of which nothing has been written yet as never sent; leaves any other alone.
+        /// Ends an attempt that can't have run as never sent: nothing of it has been written, or not the last
+        /// byte of a body that is still arriving. Leaves any other alone.
         virtual void withdraw_unwritten() = 0;
+        /// Gives up at `end` and no sooner.
+        virtual void end_at(Time end) = 0;
     };
     /// Empty once the attempt has ended.
     using Handle = std::weak_ptr<Attempt>;
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -24,6 +24,7 @@
     struct Entry {
         std::string name;  ///< "package.what": small letters, digits, '_' and one '.'
         std::string help;
+        std::string label;  ///< of several with one name: the class of requests; else empty
         Counter counter;
         std::function<double()>
             gauge;  ///< where it is set, this is read instead: a value that goes both ways
@@ -32,21 +33,23 @@
     Counters(const Counters&) = delete;
     Counters& operator=(const Counters&) = delete;
 
-    /// The counter of this name, which lives as long as the registry. A name entered twice is the same
+    /// The counter of this name and label, which lives as long as the registry. Entered twice it is the same
     /// counter.
-    Counter& counter(const std::string& name, const std::string& help) { return entry(name, help).counter; }
+    Counter& counter(const std::string& name, const std::string& help, const std::string& label = {}) {
+        return entry(name, help, label).counter;
+    }
     /// Read whenever somebody asks; whoever enters it outlives that.
     void gauge(const std::string& name, const std::string& help, std::function<double()> read) {
-        entry(name, help).gauge = std::move(read);
+        entry(name, help, {}).gauge = std::move(read);
     }
     const std::deque<Entry>& entries() const { return entries_; }
 
   private:
-    Entry& entry(const std::string& name, const std::string& help) {
+    Entry& entry(const std::string& name, const std::string& help, const std::string& label) {
         for (Entry& e : entries_) {  // entered at the start, some dozens
-            if (e.name == name) return e;
+            if (e.name == name && e.label == label) return e;
         }
-        return entries_.emplace_back(Entry{name, help, {}, {}});
+        return entries_.emplace_back(Entry{name, help, label, {}, {}});
     }
     std::deque<Entry> entries_;  // addresses stay
 };
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -12,8 +12,9 @@
 constexpr Duration kBackstopAfter = 3ms;
 }  // namespace
 
-Engine::Engine(Scheduler& scheduler, Back& back, const Limits& limits, std::unique_ptr<Policy> policy)
-    : scheduler_(scheduler), back_(back), limits_(limits), policy_(std::move(policy)) {}
+Engine::Engine(Scheduler& scheduler, Back& back, const Limits& limits, std::unique_ptr<Policy> policy,
+               Tally& tally)
+    : scheduler_(scheduler), back_(back), limits_(limits), policy_(std::move(policy)), tally_(tally) {}
 
 void Engine::start() {
     std::vector<Action> actions;
@@ -30,6 +31,7 @@
     call.message = std::move(message);
     call.deadline = request.deadline;
     call.reply = std::move(reply);
+    call.ticket = tally_.open(request.class_index);
     // Guards against a request that is lost because the module holds it, or has forgotten it.
     call.backstop.set(call.deadline + kBackstopAfter, [this, id = request.id] {
         if (complete(id, Answer{})) post(Lapsed{id});
@@ -38,6 +40,22 @@
     return true;
 }
 
+void Engine::received(const RequestId& id, Time deadline) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || !it->second.reply) return;
+    Call& call = it->second;
+    call.deadline = deadline;
+    call.backstop.set(deadline + kBackstopAfter, [this, id] {
+        if (complete(id, Answer{})) post(Lapsed{id});
+    });
+    for (Attempt& attempt : call.attempts) {
+        if (!attempt.out) continue;
+        attempt.sent = scheduler_.now();
+        if (const auto handle = attempt.handle.lock()) handle->end_at(deadline);
+    }
+    post(Received{id, deadline});
+}
+
 void Engine::leave(const RequestId& id) {
     const auto it = calls_.find(id);
     if (it == calls_.end() || !it->second.reply) return;
@@ -130,8 +148,17 @@
                     std::nullopt,
                     result.kept};
     if (result.status == Status::Ok) {
-        complete(id,
-                 Answer{Answer::Kind::Served, std::move(result.body), std::move(result.content_type), {}});
+        Answer answer{Answer::Kind::Served, std::move(result.body), std::move(result.content_type), {}};
+        answer.rest = std::move(result.rest);
+        answer.length = result.length;
+        const auto rest = answer.rest;
+        // Guards against an endpoint that goes on answering a caller who has left.
+        if (!complete(id, std::move(answer)) && rest) rest->stop_reading();
+    } else if (call.message && !call.message->resendable()) {
+        // Its body has been handed on and let go: there is nothing left that could be sent.
+        const bool never_ran = result.status == Status::Full || result.status == Status::ConnectFailed ||
+                               result.status == Status::Moot;
+        complete(id, Answer{never_ran ? Answer::Kind::Refused : Answer::Kind::Failed, {}, {}, {}});
     }
     const auto still = calls_.find(id);
     outcome.last = still == calls_.end() || !still->second.reply;
@@ -145,6 +172,14 @@
     const Reply reply = it == calls_.end() ? nullptr : std::exchange(it->second.reply, nullptr);
     if (!reply) return false;
     it->second.backstop.cancel();
+    Tally::Ticket ticket = std::move(it->second.ticket);
+    if (answer.rest) {
+        answer.ticket = std::move(ticket);
+    } else {
+        ticket.end(answer.kind == Answer::Kind::Served    ? Tally::End::Served
+                   : answer.kind == Answer::Kind::Refused ? Tally::End::Refused
+                                                          : Tally::End::Failed);
+    }
     // Guards against an attempt that was waiting for its connection and would be written after the answer.
     // Each that ends may end the call too: go by a copy.
     std::vector<Back::Handle> out;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -12,6 +12,7 @@
 #include "core/back.h"
 #include "core/policy.h"
 #include "core/scheduler.h"
+#include "core/tally.h"
 
 namespace martenford {
 
@@ -21,7 +22,10 @@
     Kind kind = Kind::Failed;
     std::string body;
     std::string content_type;
-    Duration retry_after{};  ///< of a refusal; 0: no advice
+    Duration retry_after{};                 ///< of a refusal; 0: no advice
+    std::shared_ptr<Pipe> rest{};           ///< of a body that is still coming; empty: it is whole
+    std::optional<std::uint64_t> length{};  ///< of the whole body, where the endpoint told it
+    Tally::Ticket ticket{};                 ///< where there is a rest: the front says how that ended
 };
 
 class Engine {
@@ -29,7 +33,8 @@
     using Reply = std::function<void(Answer&&)>;
 
     /// `policy` decides; attempts go through `back`. Both, and the scheduler, outlive what they carry.
-    Engine(Scheduler& scheduler, Back& back, const loftfront::Limits& limits, std::unique_ptr<Policy> policy);
+    Engine(Scheduler& scheduler, Back& back, const loftfront::Limits& limits, std::unique_ptr<Policy> policy,
+           Tally& tally);
 
     /// What the module's Subscribe calls.
     void on_subscribe(std::function<void()> subscribe) { subscribe_ = std::move(subscribe); }
@@ -38,6 +43,8 @@
     /// Takes a request; `reply` is called once, unless the client leaves first. False where one with the same
     /// id is still under way: then nothing was taken.
     bool take(loftfront::Request request, std::shared_ptr<const Message> message, Reply reply);
+    /// All of a request that was taken while it was arriving is here: its client waits until `deadline`.
+    void received(const loftfront::RequestId& id, Time deadline);
     /// The client of an open request has gone.
     void leave(const loftfront::RequestId& id);
     void tell(loftfront::Discovered news) { post(std::move(news)); }
@@ -53,6 +60,7 @@
         std::shared_ptr<const Message> message;
         Time deadline{};
         Reply reply;  // empty once the request is complete
+        Tally::Ticket ticket;
         Timer backstop;
         std::vector<Attempt> attempts;
     };
@@ -68,6 +76,7 @@
     Back& back_;
     loftfront::Limits limits_;
     std::unique_ptr<Policy> policy_;
+    Tally& tally_;
     std::function<void()> subscribe_;
     std::deque<loftfront::Event> events_;
     bool handling_ = false;
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -57,6 +57,8 @@
     };
     using Known = const Membership&;
     enter("membership.endpoints", "endpoints known", [](Known m) { return m.size(); });
+    counters.gauge("policy.avoided", "endpoints listed that get nothing new",
+                   [this] { return static_cast<double>(membership_.size() - membership_.ready()); });
     enter("membership.ready", "endpoints listed as ready", [](Known m) { return m.ready(); });
     enter("membership.doubted", "endpoints whose removal is doubted now",
           [](Known m) { return m.doubted(); });
@@ -165,6 +167,7 @@
         if (update.news.kind == Discovered::Kind::Failed) {
             return failed("an answer was skipped: " + update.remark);
         }
+        heard_ = true;
         apply(std::move(update));
         // The parser keeps some ten times the longest text that it has read.
         if (body.size() > kLargeList) parser_ = simdjson::dom::parser();
--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -28,6 +28,8 @@
     void move(const Address& address);
     /// Whether any endpoint is known to serve.
     bool knows_any() const { return membership_.knows_any(); }
+    /// Whether discovery itself has told a list since the start.
+    bool heard() const { return heard_; }
 
   private:
     struct Exchange;
@@ -48,6 +50,7 @@
     std::shared_ptr<Exchange> exchange_;  // the connection, while watching
     Timer again_, doubt_;
     Duration wait_{};
+    bool heard_ = false;
     bool whole_ = false;  // the next call asks for the whole list
     std::uint64_t random_;
     simdjson::dom::parser parser_;
--- a/src/http1/back.cpp
+++ b/src/http1/back.cpp
@@ -3,7 +3,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <boost/beast/http/write.hpp>
 #include <cerrno>
 #include <optional>
 
@@ -17,6 +16,7 @@
 
 constexpr Duration kProbeTime = 1s;
 constexpr int kMostInterim = 16;  // answers 1xx ahead of the one that counts
+constexpr Duration kStall = 10s;  // an endpoint that gives nothing of a begun answer for so long has left it
 
 /// Whether a connect failed for want of something of our own.
 bool own_fault(const error_code& error) {
@@ -25,7 +25,7 @@
            error == boost::system::errc::too_many_files_open_in_system;
 }
 
-Status classify(const http::response<http::string_body>& answer) {
+Status classify(const http::response<PieceBody>& answer) {
     if (answer.result_int() == 200) return Status::Ok;
     const bool turned_away = answer.result_int() == 503 || answer.result_int() == 504;
     return turned_away && answer["X-Not-Processed"] == "1" ? Status::Full : Status::Error;
@@ -50,15 +50,19 @@
     const Address address;
     std::optional<Http1Back::ByIdleTime::iterator> idle_place;  // while it is idle
 
-    void start(std::shared_ptr<const Message> message, Http1Back::Outgoing&& outgoing, Time end,
-               Back::Done done) {
+    void start(std::shared_ptr<const HttpMessage> message, std::shared_ptr<Http1Back::Outgoing> outgoing,
+               Time end, Back::Done done) {
         message_ = std::move(message);
-        outgoing_.emplace(std::move(outgoing));
+        outgoing_ = std::move(outgoing);
+        if (message_ && message_->rest) {
+            outgoing_->on_rest = [message = message_] {
+                message->rest_begun = true;
+                message->body = {};
+            };
+        }
         done_ = std::move(done);
         limit_.cancel();
-        end_.set(end, [self = shared_from_this()] {
-            self->finish(self->stage_ == Stage::Connecting ? Status::ConnectFailed : Status::Timeout);
-        });
+        end_at(end);
         if (stage_ == Stage::Connecting) {
             connect();
         } else {
@@ -75,11 +79,20 @@
     /// For an attempt that is no longer wanted.
     void cancel() override { finish(Status::Cancelled); }
     void withdraw_unwritten() override {
-        if (stage_ == Stage::Connecting) finish(Status::Moot);
+        if (stage_ == Stage::Connecting || (stage_ == Stage::Writing && arriving())) finish(Status::Moot);
+    }
+    void end_at(Time end) override {
+        if (!done_) return;  // its outcome is known already
+        end_.set(end, [self = shared_from_this()] {
+            self->finish(self->written_whole() ? Status::Timeout : Status::ConnectFailed);
+        });
     }
     /// For one that carries nothing.
     void close() {
         if (std::exchange(stage_, Stage::Closed) == Stage::Closed) return;
+        if (outgoing_) outgoing_->stop();
+        if (rest_) std::exchange(rest_, nullptr)->fail();
+        if (message_ && message_->rest_begun) message_->rest->stop_reading();
         pool_.gone(*this);
         limit_.cancel();
         end_.cancel();
@@ -88,7 +101,18 @@
     }
 
   private:
-    enum class Stage { Connecting, Writing, Waiting, Idle, Closed };
+    /// Passing: the attempt has ended as served, and the rest of its answer goes on through a pipe.
+    enum class Stage { Connecting, Writing, Waiting, Passing, Idle, Closed };
+
+    /// Whether a part of the request's body has yet to come from its caller.
+    bool arriving() const {
+        return message_ && message_->rest && message_->rest->state() == Pipe::State::Open;
+    }
+    /// Before that an attempt has not run. Where bytes are held here alone the endpoint can't have the last
+    /// one.
+    bool written_whole() const {
+        return stage_ == Stage::Waiting || (stage_ == Stage::Writing && !arriving());
+    }
 
     void connect() {
         const Duration most = pool_.limits_.connect_timeout;
@@ -101,6 +125,7 @@
             if (error) return self->finish(own_fault(error) ? Status::Moot : Status::ConnectFailed);
             error_code ignored;
             self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+            bound_send_buffer(self->socket_);
             self->read();
             self->write();
         });
@@ -110,21 +135,24 @@
         stage_ = Stage::Writing;
         interim_ = 0;
         renew(parser_);
-        http::async_write(socket_, *outgoing_,
-                          [self = shared_from_this()](const error_code& error, std::size_t) {
-                              if (self->stage_ != Stage::Writing) return;
-                              // Not whole: an endpoint begins no request whose last byte has not come.
-                              if (error) return self->finish(Status::ConnectFailed);
-                              self->stage_ = Stage::Waiting;
-                              self->parse();
-                              if (self->stage_ == Stage::Waiting && self->broken_) self->ended(self->broken_);
-                              self->read_on();
-                          });
+        outgoing_->run(socket_, shared_from_this(), [self = shared_from_this()](const error_code& error) {
+            if (self->stage_ != Stage::Writing) return;
+            // Not whole: an endpoint begins no request whose last byte has not come.
+            if (error) return self->finish(Status::ConnectFailed);
+            self->stage_ = Stage::Waiting;
+            if (self->message_) self->pool_.written_.add();  // probes are no attempts
+            self->parse();
+            if (self->stage_ == Stage::Waiting && self->broken_) self->ended(self->broken_);
+            self->read_on();
+        });
     }
 
     void read() {
         reading_ = true;
-        socket_.async_read_some(buffer_.prepare(kReadSize),
+        if (stage_ == Stage::Passing) {
+            limit_.set(Loop::monotonic() + kStall, [self = shared_from_this()] { self->close(); });
+        }
+        socket_.async_read_some(buffer_.prepare(read_size(buffer_, stage_ == Stage::Passing)),
                                 [self = shared_from_this()](const error_code& error, std::size_t size) {
                                     self->reading_ = false;
                                     if (self->stage_ == Stage::Closed) return;
@@ -135,48 +163,123 @@
                                     // Guards against bytes that were on their way before the request was: an
                                     // answer that starts before its request is whole is none.
                                     if (self->stage_ == Stage::Writing) {
-                                        self->broken_ = http::error::unexpected_body;
-                                        return;
+                                        return self->broke_while_writing(http::error::unexpected_body);
+                                    }
+                                    if (self->stage_ == Stage::Waiting || self->stage_ == Stage::Passing) {
+                                        self->parse();
                                     }
-                                    if (self->stage_ == Stage::Waiting) self->parse();
                                     self->read_on();
                                 });
     }
     void read_on() {
         if (stage_ == Stage::Closed || reading_ || broken_) return;
+        if (stage_ == Stage::Passing && !rest_->has_room()) return limit_.cancel();  // the caller is slower
         read();
     }
 
+    /// Whether the request was written whole is known once its write has ended, which takes as long as its
+    /// caller takes to send it: one that is still arriving is over at once, and never ran.
+    void broke_while_writing(const error_code& error) {
+        if (arriving()) return finish(Status::ConnectFailed);
+        broken_ = error;
+    }
+
     void ended(const error_code& error) {
         if (stage_ == Stage::Idle) return drop();
-        // Whether the request was written whole is known once its write has ended.
-        if (stage_ == Stage::Writing) {
-            broken_ = error;
-            return;
-        }
+        if (stage_ == Stage::Writing) return broke_while_writing(error);
         if (error == asio::error::eof && parser_->got_some()) {
             error_code fault;
             parser_->put_eof(fault);
-            if (!fault && parser_->is_done()) return answered(false);
+            if (!fault && parser_->is_done())
+                return stage_ == Stage::Passing ? passed(false) : answered(false);
         }
+        if (stage_ == Stage::Passing) return close();  // its caller sees that it is not whole
         finish(Status::Reset);
     }
 
     void parse() {
         for (;;) {
-            if (feed(*parser_, buffer_)) return finish(Status::Error);  // nobody can tell what it answers
-            if (!parser_->is_done()) return;
+            if (feed(*parser_, buffer_)) {  // nobody can tell what it answers
+                return stage_ == Stage::Passing ? close() : finish(Status::Error);
+            }
+            if (stage_ == Stage::Passing) return pass();
+            if (!parser_->is_done()) break;
             // Guards against taking word that the answer is to come for the answer.
             if (parser_->get().result_int() / 100 != 1) break;
             if (++interim_ > kMostInterim) return finish(Status::Error);
             renew(parser_);
         }
-        answered(parser_->keep_alive() && buffer_.size() == 0 && clean());
+        if (parser_->is_done()) return answered(clean_end());
+        if (!parser_->is_header_done()) return;
+        const auto& held = parser_->get().body();
+        const auto length = parser_->content_length();
+        // A long one goes on with its first bytes: it may be longer than what can be held, and its caller
+        // waits for these.
+        if (held.size() <= kWholeBody && (held.empty() || !length || *length <= kWholeBody)) return;
+        const Status status = classify(parser_->get());
+        if (status != Status::Ok) return finish(status);  // its words are no use
+        begin_passing();
+    }
+    bool clean_end() { return parser_->keep_alive() && buffer_.size() == 0 && clean(); }
+
+    void begin_passing() {
+        const auto& answer = parser_->get();
+        Result result{Status::Ok,
+                      std::exchange(parser_->get().body(), {}),
+                      std::string(answer[http::field::content_type]),
+                      {},
+                      {},
+                      false};
+        if (const auto length = parser_->content_length()) result.length = *length;
+        result.rest = rest_ = std::make_shared<Pipe>(kMostHeld);
+        // Held by its pipe until the answer's end: while its caller is slow it reads nothing, and no handler holds
+        // it.
+        rest_->on_room([self = shared_from_this()] {
+            if (self->stage_ != Stage::Passing) return;
+            if (self->rest_->unread()) return self->close();  // its caller has left
+            self->read_on();
+        });
+        stage_ = Stage::Passing;
+        end_.cancel();
+        limit_.cancel();
+        const auto done = std::exchange(done_, nullptr);
+        release();
+        done(std::move(result));
+    }
+    void pass() {
+        const auto self = shared_from_this();
+        const auto piece = std::exchange(parser_->get().body(), {});
+        rest_->put(piece);
+        if (stage_ == Stage::Passing && parser_->is_done()) passed(clean_end());
+    }
+    void passed(bool keep) {
+        const auto self = shared_from_this();
+        rest_->put(std::exchange(parser_->get().body(), {}));
+        if (!rest_) return;  // its caller left at that
+        limit_.cancel();
+        std::exchange(rest_, nullptr)->finish();
+        if (stage_ == Stage::Closed) return;
+        if (keep && pool_.keeps(*this)) {
+            rest_here();
+        } else {
+            close();
+        }
+    }
+    /// Goes back to its pool, for the next attempt.
+    void rest_here() {
+        stage_ = Stage::Idle;
+        if (const Duration most = pool_.limits_.connection_idle; most > Duration{}) {
+            const Duration keep_for{
+                static_cast<Duration::rep>(static_cast<double>(most.count()) * kIdleShare)};
+            limit_.set(Loop::monotonic() + keep_for, [self = shared_from_this()] { self->drop(); });
+        }
+        pool_.put_back(shared_from_this());
     }
 
     void answered(bool keep) {
         auto answer = parser_->release();
-        Result result{classify(answer), {}, {}};
+        Result result;
+        result.status = classify(answer);
         if (result.status == Status::Ok) {
             result.body = std::move(answer.body());
             result.content_type = std::string(answer[http::field::content_type]);
@@ -186,13 +289,7 @@
         release();
         result.kept = keep && pool_.keeps(*this);
         if (result.kept) {
-            stage_ = Stage::Idle;
-            if (const Duration most = pool_.limits_.connection_idle; most > Duration{}) {
-                const Duration keep_for{
-                    static_cast<Duration::rep>(static_cast<double>(most.count()) * kIdleShare)};
-                limit_.set(Loop::monotonic() + keep_for, [self = shared_from_this()] { self->drop(); });
-            }
-            pool_.put_back(shared_from_this());
+            rest_here();
         } else {
             close();
         }
@@ -205,7 +302,9 @@
         const auto self = shared_from_this();
         close();
         release();
-        if (done) done(Result{status});
+        Result result;
+        result.status = status;
+        if (done) done(std::move(result));
     }
 
     void drop() {
@@ -230,8 +329,9 @@
     bool reading_ = false;
     int interim_ = 0;
     std::optional<Parser<false>> parser_;
-    std::shared_ptr<const Message> message_;
-    std::optional<Http1Back::Outgoing> outgoing_;
+    std::shared_ptr<const HttpMessage> message_;
+    std::shared_ptr<Http1Back::Outgoing> outgoing_;
+    std::shared_ptr<Pipe> rest_;  // of the answer that passes through
     Back::Done done_;
 };
 
@@ -243,7 +343,8 @@
       per_endpoint_(per_endpoint),
       opened_(counters.counter("connections.opened", "connections that were begun to endpoints")),
       evicted_(counters.counter("connections.evicted", "idle ones closed to make room for another")),
-      no_room_(counters.counter("connections.no_room", "attempts not sent for want of a connection")) {
+      no_room_(counters.counter("connections.no_room", "attempts not sent for want of a connection")),
+      written_(counters.counter("attempts.written", "attempts whose last byte was written")) {
     counters.gauge("connections.open", "to endpoints", [this] { return static_cast<double>(count_); });
     counters.gauge("connections.idle", "of them, carrying nothing",
                    [this] { return static_cast<double>(by_idle_time_.size()); });
@@ -263,33 +364,51 @@
 }
 
 Back::Handle Http1Back::send(EndpointId id, std::shared_ptr<const Message> message, Time end, Done done) {
-    const HttpRequest& request = static_cast<const HttpMessage&>(*message).request;
-    Outgoing outgoing{request.base()};
+    auto request = std::static_pointer_cast<const HttpMessage>(std::move(message));
+    Outgoing::Head head{request->head};
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - Loop::monotonic());
-    outgoing.set("X-Timeout-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
-    outgoing.body() = {request.body().data(), request.body().size()};
-    return start(id, std::move(message), std::move(outgoing), end, std::move(done));
+    head.set("X-Timeout-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
+    if (!request->rest) {
+        // A safe request has no body, and endpoints may not expect to be told so.
+        const bool bare = request->body.empty() && head.method() == http::verb::get;
+        head.content_length(bare ? boost::optional<std::uint64_t>{} : request->body.size());
+    } else if (request->length) {
+        head.content_length(*request->length);
+    } else {
+        head.chunked(true);
+    }
+    auto outgoing = std::make_shared<Outgoing>(std::move(head), request->body, request->rest);
+    return start(id, std::move(request), std::move(outgoing), end, std::move(done));
 }
 
 void Http1Back::probe(EndpointId id, Done done) {
-    Outgoing outgoing{http::verb::get, "/-/healthy", 11};
-    outgoing.set(http::field::host, "service.internal");
+    Outgoing::Head head{http::verb::get, "/-/healthy", 11};
+    head.set(http::field::host, "service.internal");
+    auto outgoing = std::make_shared<Outgoing>(std::move(head), std::string_view{}, nullptr);
     start(id, nullptr, std::move(outgoing), Loop::monotonic() + kProbeTime, std::move(done));
 }
 
-Back::Handle Http1Back::start(EndpointId id, std::shared_ptr<const Message> message, Outgoing&& outgoing,
-                              Time end, Done done) {
+Back::Handle Http1Back::start(EndpointId id, std::shared_ptr<const HttpMessage> message,
+                              std::shared_ptr<Outgoing> outgoing, Time end, Done done) {
     const auto pool = pools_.find(id);
     auto connection = pool == pools_.end() ? nullptr : take(id, pool->second);
     if (!connection) {
         // Guards against blaming the endpoint for our own lack of places, or for having left the list.
-        done(Result{Status::Moot});
+        Result result;
+        result.status = Status::Moot;
+        done(std::move(result));
         return {};
     }
     connection->start(std::move(message), std::move(outgoing), end, std::move(done));
     return connection;
 }
 
+void Http1Back::hold_at_most(std::size_t most) {
+    most_ = most;
+    while (count_ > most_ && make_room()) {
+    }
+}
+
 std::shared_ptr<Connection> Http1Back::take(EndpointId id, Pool& pool) {
     while (!pool.idle.empty()) {
         auto connection = std::move(pool.idle.back());
--- a/src/http1/back.h
+++ b/src/http1/back.h
@@ -1,7 +1,6 @@
 // Connections to endpoints: a pool each, attempts and probes on them, and what became of each.
 #pragma once
 
-#include <boost/beast/http/span_body.hpp>
 #include <functional>
 #include <list>
 #include <memory>
@@ -34,6 +33,8 @@
     Handle send(EndpointId id, std::shared_ptr<const Message> message, Time end, Done done) override;
     void probe(EndpointId id, Done done) override;
     void shut_idle(EndpointId id) override;
+    /// From here on it holds so many; idle ones over that are closed at once, others as they end.
+    void hold_at_most(std::size_t most);
 
   private:
     friend class Connection;
@@ -45,10 +46,10 @@
     };
     /// All idle ones over all pools, the one idle for longest first: found without a look at the others.
     using ByIdleTime = std::list<Connection*>;
-    using Outgoing = http::request<http::span_body<const char>>;
+    using Outgoing = Writer<true>;
 
-    Handle start(EndpointId id, std::shared_ptr<const Message> message, Outgoing&& outgoing, Time end,
-                 Done done);
+    Handle start(EndpointId id, std::shared_ptr<const HttpMessage> message,
+                 std::shared_ptr<Outgoing> outgoing, Time end, Done done);
     std::shared_ptr<Connection> take(EndpointId id, Pool& pool);
     bool make_room();
     bool keeps(const Connection& connection) const;
@@ -61,7 +62,7 @@
     std::size_t most_, per_endpoint_, count_ = 0;
     std::unordered_map<EndpointId, Pool> pools_;
     ByIdleTime by_idle_time_;
-    Counter &opened_, &evicted_, &no_room_;
+    Counter &opened_, &evicted_, &no_room_, &written_;
 };
 
 }  // namespace martenford
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/socket_base.hpp>
-#include <boost/beast/http/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <charconv>
 #include <optional>
 #include <string_view>
@@ -17,20 +17,30 @@
 namespace martenford {
 
 using namespace loftfront;
-using Reply = http::response<http::string_body>;
+using Reply = Writer<false>;
 
 namespace {
 
 constexpr std::size_t kMostId = 128;
 constexpr std::int64_t kMostTimeoutMs = 24 * 3600 * 1000;
-constexpr Duration kRequestTime = 2500ms;  // a request must be whole in this time from its first byte, the
-                                           // first on a connection from the connect; 3 s are owed
-constexpr Duration kIdleTime = 15s;        // a connection between requests is kept for this long
-constexpr Duration kAnswerTime = 10s;      // for the client to read an answer
-constexpr int kMostLooks = 8;              // at connections, to find one that can make room
-constexpr Duration kLingerTime = 1s;       // for the client to read the last answer and close
-constexpr Duration kAcceptAgain = 20ms;    // after running out of descriptors
-constexpr Duration kLastCall = 450ms;      // connections come for 0.4 s after SIGTERM
+constexpr Duration kRequestTime = 2500ms;  // a head must be whole in this time from its first byte, the first
+                                           // on a connection from the connect; 3 s are owed
+constexpr double kSlowestBody = 24'000;    // bytes a second, after as long again: the platform's send 64,000
+constexpr std::uint64_t kLongestBody = 64 * 1024 * 1024;  // taken for the length of one that tells none
+constexpr Duration kIdleTime = 15s;    // a connection between requests is kept for this long
+constexpr Duration kAnswerTime = 10s;  // for the client to read an answer
+constexpr int kMostLooks = 8;          // at connections, to find one that can make room
+constexpr Duration kLingerTime =
+    1s;  // for the client to read the last answer and close, and for it to
+         // stop sending: so long after the last bytes of a body that nobody wants
+constexpr Duration kLingerMost = 2500ms;  // in all
+constexpr Duration kSettled = 300ms;      // a connection that has said nothing for so long may not mean to
+constexpr Duration kAcceptAgain = 20ms;   // after running out of descriptors
+constexpr Duration kSentAway = 300ms;     // after an evacuation began, by when no front sends anybody new
+constexpr Duration kLetGo = 1s;           // and by when idle connections are closed
+constexpr Duration kAskTime = 600ms;      // in which a new connection says what it wants then
+constexpr Duration kNoMore = 1800ms;   // from when on requests are refused: none of the last 2 s may be held
+constexpr Duration kLastCall = 450ms;  // connections come for 0.4 s after SIGTERM
 constexpr Duration kLastRequest = 200ms;   // and the requests on them
 constexpr Duration kKilledAfter = 700ms;   // SIGKILL comes this much later than the longest deadline
 constexpr Duration kKilledMost = 3s;       // of which no more than this counts
@@ -54,7 +64,7 @@
 /// Whether the length of the body is told in one way that all read alike. Guards against a second request
 /// hidden in the body: Boost 1.74 refuses Content-Length beside Transfer-Encoding and lengths that differ,
 /// but takes the same length twice, and reads no body where a coding other than chunked is named.
-bool framed_clearly(const HttpRequest& message) {
+bool framed_clearly(const http::request_header<>& message) {
     const auto lengths = message.count(http::field::content_length);
     const auto codings = message.count(http::field::transfer_encoding);
     if (lengths + codings > 1) return false;
@@ -64,8 +74,8 @@
 }
 
 /// The event that a message stands for, or the status that turns it away.
-std::variant<Request, http::status> read_request(const HttpRequest& message, const Settings& settings,
-                                                 Time arrived) {
+std::variant<Request, http::status> read_request(const http::request_header<>& message,
+                                                 const Settings& settings, Time arrived) {
     const auto id = message["X-Request-ID"], name = message["X-Priority-Class"];
     if (id.empty() || id.size() > kMostId || name.empty()) return http::status::bad_request;
     std::string_view path(message.target().data(), message.target().size());
@@ -107,20 +117,32 @@
 }
 
 /// Takes off what concerns the caller's connection alone.
-void strip_hop_headers(HttpRequest& message) {
+void strip_hop_headers(http::request_header<>& message) {
     const auto listed = std::string(message[http::field::connection]);
     for (const auto& name : http::token_list(listed)) {
         if (!boost::beast::iequals(name, "close") && !boost::beast::iequals(name, "keep-alive")) {
             message.erase(name);
         }
     }
-    for (const auto field :
-         {http::field::connection, http::field::keep_alive, http::field::proxy_connection, http::field::te,
-          http::field::trailer, http::field::upgrade, http::field::expect}) {
+    for (const auto field : {http::field::connection, http::field::keep_alive, http::field::proxy_connection,
+                             http::field::te, http::field::trailer, http::field::upgrade, http::field::expect,
+                             http::field::content_length, http::field::transfer_encoding}) {
         message.erase(field);
     }
     message.version(11);
-    message.prepare_payload();
+}
+
+/// The origin form of a target (RFC 9112, section 3.2): a client may write the whole URI.
+std::string origin_form(boost::beast::string_view target) {
+    constexpr std::string_view kScheme = "http://";
+    std::string_view text(target.data(), target.size());
+    if (!boost::beast::iequals(target.substr(0, kScheme.size()),
+                               boost::beast::string_view(kScheme.data(), kScheme.size()))) {
+        return std::string(text);
+    }
+    const auto path = text.find_first_of("/?", kScheme.size());
+    if (path == text.npos) return "/";
+    return text[path] == '?' ? "/" + std::string(text.substr(path)) : std::string(text.substr(path));
 }
 
 }  // namespace
@@ -135,7 +157,9 @@
     void start(Http1Front::Clients::iterator place) {
         place_ = place;
         next_request();
-        limit_.set(Loop::monotonic() + kRequestTime, [self = shared_from_this()] { self->close(); });
+        // In an evacuation none is held idle; whoever asks whether it is over does so at once.
+        const Duration most = front_.evacuated() ? kAskTime : kRequestTime;
+        limit_.set(Loop::monotonic() + most, [self = shared_from_this()] { self->close(); });
         read();
     }
     /// Nothing of it is waiting to be read. Guards against closing a connection under a request that has come
@@ -145,15 +169,20 @@
         return socket_.available(error) == 0;
     }
     /// Silent, and no byte of a next request has been read either.
-    bool idle() const {
-        return stage_ == Stage::Reading && !parser_->got_some() && buffer_.size() == 0 && silent();
-    }
+    bool idle() const { return between() && silent(); }
+    /// The same, as far as has been read.
+    bool between() const { return stage_ == Stage::Reading && !parser_->got_some() && buffer_.size() == 0; }
+    /// Since when it has its place among those like it.
+    Time since() const { return since_; }
     void close() {
         if (std::exchange(stage_, Stage::Closed) == Stage::Closed) return;
         limit_.cancel();
+        if (upload_) std::exchange(upload_, nullptr)->fail();
+        if (reply_) std::exchange(reply_, nullptr)->stop();
+        if (rest_) std::exchange(rest_, nullptr)->stop_reading();
         error_code ignored;
         socket_.close(ignored);
-        front_.closed(in_busy_ ? front_.busy_ : front_.waiting_, place_);
+        front_.closed(*among_, place_);
     }
 
   private:
@@ -161,28 +190,40 @@
 
     void next_request() {
         stage_ = Stage::Reading;
-        move(false);
+        move(front_.waiting_);
         renew(parser_);
+        continue_sent_ = false;
+        paused_ = {};
+        paused_since_.reset();
     }
 
-    /// To the end of the list of those with a request under way, or of the others.
-    void move(bool busy) {
-        auto& from = in_busy_ ? front_.busy_ : front_.waiting_;
-        auto& to = busy ? front_.busy_ : front_.waiting_;
-        to.splice(to.end(), from, place_);
-        in_busy_ = busy;
+    /// To the end of one of the front's lists.
+    void move(Http1Front::Clients& to) {
+        to.splice(to.end(), *among_, place_);
+        among_ = &to;
+        since_ = Loop::monotonic();
     }
 
     void read() {
-        if (stage_ == Stage::Closed || reading_ || buffer_.size() > kMostHeader) return;
+        if (stage_ == Stage::Closed || reading_) return;
+        const bool passing = stage_ == Stage::Waiting && upload_;
+        if (passing && !upload_->has_room()) {  // whoever it goes to is slower
+            if (!paused_since_) paused_since_ = Loop::monotonic();
+            return;
+        }
+        if (!passing && stage_ != Stage::Lingering && buffer_.size() > kMostHeader) return;
+        if (paused_since_) paused_ += Loop::monotonic() - *std::exchange(paused_since_, std::nullopt);
         reading_ = true;
-        socket_.async_read_some(buffer_.prepare(kReadSize),
+        socket_.async_read_some(buffer_.prepare(read_size(buffer_, passing)),
                                 [self = shared_from_this()](const error_code& error, std::size_t size) {
                                     self->reading_ = false;
                                     if (self->stage_ == Stage::Closed) return;
                                     if (error) return self->left();
                                     self->buffer_.commit(size);
-                                    if (self->stage_ == Stage::Lingering) self->buffer_.clear();
+                                    if (self->stage_ == Stage::Lingering) {
+                                        self->buffer_.clear();
+                                        self->linger_on();
+                                    }
                                     self->parse();
                                     self->read();
                                 });
@@ -196,52 +237,155 @@
     }
 
     void parse() {
-        if (stage_ != Stage::Reading || buffer_.size() == 0) return;
+        const bool arriving = stage_ == Stage::Waiting && upload_;
+        if ((stage_ != Stage::Reading && !arriving) || buffer_.size() == 0) return;
         if (!parser_->got_some()) {
             // The first request's time began with the connection.
             const Time from = used_ ? Loop::monotonic() : connected_;
-            limit_.set(from + kRequestTime, [self = shared_from_this()] {
-                self->turn_away(http::status::request_timeout, false);
-            });
+            limit_.set(from + kRequestTime, [self = shared_from_this()] { self->too_slow(); });
         }
+        if (!arriving) move(front_.begun_);  // who keeps sending is the last to be closed for want of room
+        const bool had_head = parser_->is_header_done();
         const error_code error = feed(*parser_, buffer_);
+        if (arriving && error) return abandon_upload();
         if (error == http::error::body_limit) return turn_away(http::status::payload_too_large, false);
         if (error == http::error::header_limit) {
             return turn_away(http::status::request_header_fields_too_large, false);
         }
         if (error) return turn_away(http::status::bad_request, false);
-        if (parser_->is_done()) taken();
+        if (!parser_->is_header_done()) return;
+        if (!had_head) {
+            head_at_ = Loop::monotonic();
+            received_ = 0;
+        }
+        if (arriving) {
+            received_ += parser_->get().body().size();
+            upload_->put(std::exchange(parser_->get().body(), {}));
+            if (stage_ != Stage::Waiting || !upload_) return;  // its attempt ended at that
+            if (parser_->is_done()) return whole();
+            return await_body();
+        }
+        received_ = parser_->get().body().size();
+        if (parser_->is_done()) return taken(false);
+        // A body too long to be held goes on as it comes; the request is taken with what is here.
+        if (received_ > kWholeBody) return taken(true);
+        if (!had_head) expect_body();
+        await_body();
+    }
+
+    /// Answers a client that asks whether to send its body (RFC 9110, section 10.1.1), and turns away at once
+    /// one whose length is more than may be or can be read in two ways.
+    void expect_body() {
+        if (!framed_clearly(parser_->get().base())) return;  // taken() says so
+        if (!boost::beast::iequals(parser_->get()[http::field::expect], "100-continue") ||
+            std::exchange(continue_sent_, true) || parser_->get().version() < 11 || buffer_.size() > 0 ||
+            received_ > 0) {
+            return;
+        }
+        http::response<http::empty_body> go_on{http::status::continue_, 11};
+        // 25 bytes into the empty buffer of a socket on which nothing was written since its last answer.
+        error_code error;
+        socket_.non_blocking(true, error);
+        http::write(socket_, go_on, error);
+    }
+
+    /// A body may be slow, but not stand still.
+    void await_body() {
+        const auto allowed = std::chrono::duration<double>(static_cast<double>(received_) / kSlowestBody);
+        const Time due = head_at_ + kRequestTime + paused_ + std::chrono::duration_cast<Duration>(allowed);
+        limit_.set(due, [self = shared_from_this()] {
+            if (self->paused_since_) return self->await_body_again();
+            self->too_slow();
+        });
+    }
+    /// It was not read for a while: its time stands still until it is.
+    void await_body_again() {
+        limit_.set(Loop::monotonic() + kRequestTime, [self = shared_from_this()] {
+            if (self->stage_ == Stage::Waiting && self->upload_) self->await_body();
+        });
+    }
+    void too_slow() {
+        if (stage_ == Stage::Waiting) return abandon_upload();
+        turn_away(http::status::request_timeout, false);
+    }
+
+    /// The rest of a request that has been taken will not come, or can't be read.
+    void abandon_upload() {
+        std::exchange(upload_, nullptr)->fail();
+        const auto self = shared_from_this();
+        if (stage_ != Stage::Waiting) return;
+        front_.engine_.leave(id_);
+        turn_away(http::status::bad_request, false);
     }
 
-    void taken() {
+    void taken(bool arriving) {
         limit_.cancel();
         used_ = true;
-        move(true);
-        auto whole = std::make_shared<HttpMessage>(parser_->release());
-        HttpRequest& message = whole->request;
-        const bool keep = message.keep_alive();
-        if (!framed_clearly(message)) return turn_away(http::status::bad_request, false);
-        if (message.target() == "/-/ready") {
-            if (message.method() != http::verb::get) return turn_away(http::status::method_not_allowed, keep);
-            const bool ready = front_.ready_() && !front_.draining();
-            return turn_away(ready ? http::status::ok : http::status::service_unavailable,
-                             keep && !front_.draining());
+        move(front_.busy_);
+        const bool keep = parser_->keep_alive();
+        parser_version_ = parser_->get().version();
+        const auto length = parser_->content_length();
+        auto& head = parser_->get().base();
+        if (!framed_clearly(head)) return turn_away(http::status::bad_request, false);
+        head.target(origin_form(head.target()));
+        if (head.target() == "/-/ready") {
+            if (head.method() != http::verb::get)
+                return turn_away(http::status::method_not_allowed, keep && !arriving);
+            return turn_away(front_.is_ready() ? http::status::ok : http::status::service_unavailable,
+                             keep && !arriving && !front_.leaving());
         }
-        auto request = read_request(message, front_.settings_, Loop::monotonic() - since_arrival());
-        if (const auto* status = std::get_if<http::status>(&request)) return turn_away(*status, keep);
-        if (front_.draining()) {
-            // Guards against an answer that is still owed when SIGKILL comes.
-            Time& deadline = std::get<Request>(request).deadline;
-            deadline = std::min(deadline, front_.answers_end_);
+        const Time now = Loop::monotonic();
+        auto request = read_request(head, front_.settings_, now - since_arrival());
+        if (const auto* status = std::get_if<http::status>(&request))
+            return turn_away(*status, keep && !arriving);
+        if (front_.sends_all_away()) return turn_away(http::status::service_unavailable, false);
+        auto& event = std::get<Request>(request);
+        timeout_ = event.deadline - (now - since_arrival());
+        if (arriving) {
+            // Its time begins with its last byte, which may be as far away as the slowest body allows.
+            const std::uint64_t whole = length ? *length : kLongestBody;
+            const std::chrono::duration<double> at_most{static_cast<double>(whole) / kSlowestBody};
+            event.deadline += kRequestTime + std::chrono::duration_cast<Duration>(at_most);
+            event.arriving = true;
         }
-        strip_hop_headers(message);
+        limit_deadline(event.deadline);
         keep_ = keep;
         stage_ = Stage::Waiting;
-        id_ = std::get<Request>(request).id;
+        id_ = event.id;
+        std::shared_ptr<HttpMessage> message;
+        if (arriving) {
+            http::request<PieceBody> begun{head};
+            begun.body() = std::exchange(parser_->get().body(), {});
+            message = std::make_shared<HttpMessage>(std::move(begun));
+            message->rest = upload_ = std::make_shared<Pipe>(kMostHeld);
+            if (length) message->length = *length;
+            upload_->on_room([weak = weak_from_this()] {
+                if (const auto self = weak.lock()) self->read();
+            });
+        } else {
+            message = std::make_shared<HttpMessage>(parser_->release());
+        }
+        strip_hop_headers(message->head);
         const bool fresh = front_.engine_.take(
-            std::get<Request>(std::move(request)), std::move(whole),
+            std::move(event), std::move(message),
             [self = shared_from_this()](Answer&& answer) { self->answer(std::move(answer)); });
-        if (!fresh) turn_away(http::status::conflict, keep);
+        if (!fresh) return turn_away(http::status::conflict, keep && !arriving);
+        if (stage_ == Stage::Waiting && arriving) await_body();
+    }
+
+    /// The last byte of a body that went on as it came.
+    void whole() {
+        limit_.cancel();
+        std::exchange(upload_, nullptr)->finish();
+        if (stage_ != Stage::Waiting) return;
+        Time deadline = Loop::monotonic() - since_arrival() + timeout_;
+        limit_deadline(deadline);
+        front_.engine_.received(id_, deadline);
+    }
+
+    /// Guards against an answer that is still owed when SIGKILL comes.
+    void limit_deadline(Time& deadline) const {
+        if (front_.draining()) deadline = std::min(deadline, front_.answers_end_);
     }
 
     /// How long the last byte has been waiting here to be read. Guards against counting the client's time
@@ -254,90 +398,171 @@
     }
 
     void answer(Answer&& answer) {
-        if (stage_ != Stage::Waiting) return;
-        Reply reply{http::status::bad_gateway, 11};
+        if (stage_ != Stage::Waiting) {
+            if (answer.rest) answer.rest->stop_reading();
+            return;
+        }
+        Reply::Head head{http::status::bad_gateway, 11};
         if (answer.kind == Answer::Kind::Served) {
-            reply.result(http::status::ok);
-            reply.body() = std::move(answer.body);
-            if (!answer.content_type.empty()) reply.set(http::field::content_type, answer.content_type);
+            head.result(http::status::ok);
+            if (!answer.content_type.empty()) head.set(http::field::content_type, answer.content_type);
         } else if (answer.kind == Answer::Kind::Refused) {
-            reply.result(http::status::service_unavailable);
+            head.result(http::status::service_unavailable);
             if (answer.retry_after > Duration{} && front_.settings_.limits.retry_after) {
                 const double seconds = std::chrono::duration<double>(answer.retry_after).count();
-                reply.set(http::field::retry_after, std::to_string(seconds));
+                head.set(http::field::retry_after, std::to_string(seconds));
             }
         }
-        write(std::move(reply), keep_);
+        rest_ = std::move(answer.rest);
+        ticket_ = std::move(answer.ticket);
+        body_ = std::move(answer.body);
+        // An HTTP/1.0 client knows no chunks: a body of untold length ends with its connection there.
+        const bool chunks = rest_ && !answer.length && parser_version_ >= 11;
+        if (!rest_) {
+            head.content_length(body_.size());
+        } else if (answer.length) {
+            head.content_length(*answer.length);
+        } else {
+            head.chunked(chunks);
+        }
+        const bool told = !rest_ || answer.length || chunks;
+        // A body that is still arriving when its request is over is read no further.
+        write(std::move(head), keep_ && told && !upload_);
     }
 
     /// Answers without the module.
-    void turn_away(http::status status, bool keep) { write(Reply{status, 11}, keep); }
+    void turn_away(http::status status, bool keep) {
+        body_.clear();
+        Reply::Head head{status, 11};
+        head.content_length(0);
+        write(std::move(head), keep);
+    }
 
-    void write(Reply&& reply, bool keep) {
+    void write(Reply::Head&& head, bool keep) {
         stage_ = Stage::Writing;
+        if (upload_) std::exchange(upload_, nullptr)->fail();
+        await_reader();
+        const bool goes_on = keep && !front_.lets_go();
+        head.keep_alive(goes_on);
+        reply_ = std::make_shared<Reply>(std::move(head), body_, rest_);
+        reply_->on_progress = [this] { await_reader(); };
+        reply_->run(socket_, shared_from_this(),
+                    [self = shared_from_this(), goes_on](const error_code& error) {
+                        if (self->stage_ == Stage::Closed) return;
+                        self->ticket_.end(error ? Tally::End::Failed : Tally::End::Served);
+                        if (error) return self->break_off();
+                        self->rest_.reset();
+                        self->reply_.reset();
+                        if (!goes_on) return self->linger();
+                        self->body_ = {};
+                        self->next_request();
+                        self->limit_.set(Loop::monotonic() + kIdleTime, [self] { self->close(); });
+                        self->parse();
+                        // Guards against a full house in which nobody leaves: who waits outside may need this
+                        // one's place.
+                        self->front_.accept();
+                        self->read();
+                    });
+    }
+    /// A client may be slow, but not stand still.
+    void await_reader() {
         limit_.set(Loop::monotonic() + kAnswerTime, [self = shared_from_this()] { self->close(); });
-        reply_ = std::move(reply);
-        reply_.keep_alive(keep && !front_.closing());
-        reply_.prepare_payload();
-        http::async_write(socket_, reply_, [self = shared_from_this()](const error_code& error, std::size_t) {
-            if (self->stage_ == Stage::Closed) return;
-            if (error) return self->close();
-            if (!self->reply_.keep_alive()) return self->linger();
-            self->reply_ = {};
-            self->next_request();
-            self->limit_.set(Loop::monotonic() + kIdleTime, [self] { self->close(); });
-            self->parse();
-            // Guards against a full house in which nobody leaves: who waits outside may need this one's
-            // place.
-            self->front_.accept();
-            self->read();
-        });
+    }
+    /// The client must see that what it has got is not whole: a reset does that for every framing.
+    void break_off() {
+        error_code ignored;
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
     }
 
     /// Waits for the client to close first. Guards against a reset that takes the answer with it, where bytes
     /// of the client's are still unread.
     void linger() {
         stage_ = Stage::Lingering;
-        move(false);
+        move(front_.waiting_);
         error_code error;
         socket_.shutdown(asio::socket_base::shutdown_send, error);
         buffer_.clear();
-        limit_.set(Loop::monotonic() + kLingerTime, [self = shared_from_this()] { self->close(); });
+        linger_end_ = Loop::monotonic() + kLingerMost;
+        linger_on();
         read();
     }
+    void linger_on() {
+        limit_.set(std::min(Loop::monotonic() + kLingerTime, linger_end_),
+                   [self = shared_from_this()] { self->close(); });
+    }
 
     Http1Front& front_;
     asio::ip::tcp::socket socket_;
     Timer limit_;
     boost::beast::flat_buffer buffer_;
     Http1Front::Clients::iterator place_;
+    Http1Front::Clients* among_ = &front_.waiting_;
     Stage stage_ = Stage::Reading;
     const Time connected_ = Loop::monotonic();
-    bool reading_ = false, keep_ = false, used_ = false, in_busy_ = false;
+    Time since_ = connected_;
+    bool reading_ = false, keep_ = false, used_ = false, continue_sent_ = false;
     std::optional<Parser<true>> parser_;
     RequestId id_;
-    Reply reply_;
+    unsigned parser_version_ = 11;  // of HTTP, as its client speaks it
+    // A body that goes on as it comes.
+    std::shared_ptr<Pipe> upload_;
+    std::uint64_t received_ = 0;  // bytes of the body
+    Time head_at_{};
+    Duration paused_{};  // in which it was not read, since nobody took it
+    std::optional<Time> paused_since_;
+    Duration timeout_{};  // that its client waits, from the last byte on
+    // The answer.
+    std::string body_;
+    std::shared_ptr<Pipe> rest_;
+    Tally::Ticket ticket_;  // where there is a rest
+    std::shared_ptr<Reply> reply_;
+    Time linger_end_{};
 };
 
-Http1Front::Http1Front(Loop& loop, Engine& engine, const Settings& settings, const Address& listen,
-                       std::size_t most, std::function<bool()> ready)
+Http1Front::Http1Front(Loop& loop, Engine& engine, const Settings& settings, std::size_t most,
+                       std::function<bool()> ready, Counters& counters)
     : loop_(loop),
       engine_(engine),
       settings_(settings),
       most_(most),
       ready_(std::move(ready)),
-      acceptor_(loop.io(), listen),  // with SO_REUSEADDR: a restart takes over its address at once
+      acceptor_(loop.io()),
       again_(loop),
-      quiet_(loop) {
+      quiet_(loop),
+      letting_go_(loop),
+      room_made_(
+          counters.counter("clients.evicted", "connections without a whole request closed to make room")) {
+    counters.gauge("clients.open", "connections of clients", [this] { return static_cast<double>(held()); });
+}
+Http1Front::~Http1Front() = default;
+
+void Http1Front::listen(const Address& address) {
+    acceptor_.open(address.protocol());
+    acceptor_.set_option(asio::socket_base::reuse_address(true));  // a restart takes over its address at once
+    // Its successor may listen beside it.
+    acceptor_.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
+    acceptor_.bind(address);
     acceptor_.listen(asio::socket_base::max_listen_connections);
     acceptor_.non_blocking(true);
     accept();
 }
-Http1Front::~Http1Front() = default;
+
+void Http1Front::adopt(int descriptor) {
+    acceptor_.assign(asio::ip::tcp::v4(), descriptor);
+    acceptor_.non_blocking(true);
+    accept();
+}
 
 void Http1Front::accept() {
     if (accepting_ || !acceptor_.is_open()) return;
-    if (full()) return make_room();  // goes on when one closes
+    if (full()) {
+        make_room();  // goes on when one closes
+        // Guards against a house that filled within one turn, with bytes of all still to be read: once they
+        // are, one can be closed.
+        if (full()) again_.set(Loop::monotonic() + kAcceptAgain, [this] { accept(); });
+        return;
+    }
     accepting_ = true;
     acceptor_.async_accept([this](const error_code& error, asio::ip::tcp::socket socket) {
         accepting_ = false;
@@ -356,6 +581,7 @@
     if (!error) {
         error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        bound_send_buffer(socket);
         const auto client = std::make_shared<Client>(*this, std::move(socket));
         client->start(waiting_.insert(waiting_.end(), client));
     }
@@ -365,13 +591,33 @@
 /// Closes the connection that has gone longest without a whole request: one that is between requests, says
 /// nothing, or sends its request too slowly. Guards against a house full of such clients that keeps out those
 /// who want something.
-void Http1Front::make_room() {
-    for (int looks = 0; looks < kMostLooks && !waiting_.empty(); ++looks) {
-        if (const auto client = waiting_.front().lock(); client && client->silent()) {
-            return client->close();
-        }
-        waiting_.splice(waiting_.end(), waiting_, waiting_.begin());  // its turn to be read comes first
+bool Http1Front::make_room() {
+    const auto quiet = first_silent(waiting_), half = first_silent(begun_);
+    const Time settled = Loop::monotonic() - kSettled;
+    // One that has only just connected is about to say something, more likely than one that stopped half way.
+    const auto& gone = quiet && quiet->since() <= settled                ? quiet
+                       : half && (half->since() <= settled || !quiet)    ? half
+                       : quiet && half && half->since() < quiet->since() ? half
+                                                                         : quiet;
+    if (!gone) return false;
+    room_made_.add();
+    gone->close();
+    return true;
+}
+
+std::shared_ptr<Client> Http1Front::first_silent(Clients& among) {
+    for (int looks = 0; looks < kMostLooks && !among.empty(); ++looks) {
+        if (auto client = among.front().lock(); client && client->silent()) return client;
+        among.splice(among.end(), among, among.begin());  // its turn to be read comes first
     }
+    return nullptr;
+}
+
+void Http1Front::hold_at_most(std::size_t most) {
+    most_ = most;
+    while (held() > most_ && make_room()) {
+    }
+    accept();
 }
 
 void Http1Front::closed(Clients& among, Clients::iterator place) {
@@ -380,12 +626,15 @@
     accept();
 }
 
-void Http1Front::drain(std::function<void()> done) {
+void Http1Front::drain(std::function<void()> done, bool replaced) {
     if (drained_) return;
     drained_ = std::move(done);
+    replaced_ = replaced;
+    letting_go_.cancel();
     Duration longest{};
     for (const RequestClass& c : settings_.classes) longest = std::max(longest, c.deadline);
     answers_end_ = Loop::monotonic() + std::min(longest, kKilledMost) + kKilledAfter - kKilledSlack;
+    if (replaced_) return stop_accepting();  // what waits in the listener is its other holder's
     quiet_.set(Loop::monotonic() + kLastCall, [this] { stop_accepting(); });
 }
 
@@ -401,10 +650,33 @@
 
 void Http1Front::stop_serving() {
     closing_ = true;
+    close_idle();
+    if (empty()) drained_();
+}
+
+void Http1Front::close_idle() {
     for (const auto& entry : Clients(waiting_)) {
         if (const auto client = entry.lock(); client && client->idle()) client->close();
     }
-    if (empty()) drained_();
+}
+
+void Http1Front::evacuate() {
+    if (evacuated_ || draining()) return;
+    evacuated_ = Loop::monotonic();
+    letting_go_.set(*evacuated_ + kLetGo, [this] { close_idle(); });
+}
+
+void Http1Front::activate() {
+    evacuated_.reset();
+    letting_go_.cancel();
+}
+
+bool Http1Front::lets_go() const {
+    return closing_ || replaced_ || (evacuated_ && Loop::monotonic() >= *evacuated_ + kSentAway);
+}
+
+bool Http1Front::sends_all_away() const {
+    return evacuated_ && !draining() && Loop::monotonic() >= *evacuated_ + kNoMore;
 }
 
 }  // namespace martenford
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -5,8 +5,10 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 
 #include "core/address.h"
+#include "core/counters.h"
 #include "core/engine.h"
 #include "core/loop.h"
 
@@ -17,30 +19,59 @@
 class Http1Front {
   public:
     /// Holds this many connections at most. Throws boost::system::system_error where it can't listen.
-    Http1Front(Loop& loop, Engine& engine, const loftfront::Settings& settings, const Address& listen,
-               std::size_t most, std::function<bool()> ready);
+    Http1Front(Loop& loop, Engine& engine, const loftfront::Settings& settings, std::size_t most,
+               std::function<bool()> ready, Counters& counters);
     ~Http1Front();
 
+    /// Listens, beside others that share the address with SO_REUSEPORT. Throws boost::system::system_error
+    /// where it can't.
+    void listen(const Address& address);
+    /// Takes over a listening socket, with the connections that wait in it.
+    void adopt(int descriptor);
+    bool listening() const { return acceptor_.is_open(); }
+    int listener() { return acceptor_.native_handle(); }
+
     /// Stops in order: accepts and serves what still comes, answers all that was taken, then calls `done`.
-    void drain(std::function<void()> done);
+    /// Where another process accepts from the same listener (`replaced`), nothing more is accepted here, and
+    /// clients are told to come back on new connections.
+    void drain(std::function<void()> done, bool replaced);
+    /// Sends clients away while the process stays: not ready, their connections closed as they fall idle,
+    /// within 4 s (of the platform's drain), without a request lost. A second call changes nothing.
+    void evacuate();
+    /// Ends that.
+    void activate();
+    bool evacuated() const { return evacuated_.has_value(); }
+    /// From here on it holds so many; those that carry no request are closed to get there.
+    void hold_at_most(std::size_t most);
+
     /// Where it listens: the port is the system's choice where the configuration says 0.
     Address listens_at() const { return acceptor_.local_endpoint(); }
     bool draining() const { return static_cast<bool>(drained_); }
-    /// Whether connections are given up after their answer.
-    bool closing() const { return closing_; }
+    /// Whether new clients are wanted.
+    bool is_ready() const { return ready_() && !leaving(); }
 
   private:
     friend class Client;
     using Clients = std::list<std::weak_ptr<Client>>;
 
+    bool leaving() const { return draining() || evacuated(); }
+    /// Whether connections are given up after their answer.
+    bool lets_go() const;
+    /// Whether requests are refused, in an evacuation that should be over.
+    bool sends_all_away() const;
+    void close_idle();
+
     void accept();
     void accepted(const boost::system::error_code& error, asio::ip::tcp::socket socket);
-    void make_room();
+    /// False: nobody can be closed now.
+    bool make_room();
+    std::shared_ptr<Client> first_silent(Clients& among);
     void closed(Clients& among, Clients::iterator place);
     void stop_accepting();
     void stop_serving();
-    bool full() const { return waiting_.size() + busy_.size() >= most_; }
-    bool empty() const { return waiting_.empty() && busy_.empty(); }
+    std::size_t held() const { return waiting_.size() + begun_.size() + busy_.size(); }
+    bool full() const { return held() >= most_; }
+    bool empty() const { return held() == 0; }
 
     Loop& loop_;
     Engine& engine_;
@@ -48,10 +79,15 @@
     std::size_t most_;
     std::function<bool()> ready_;
     asio::ip::tcp::acceptor acceptor_;
-    Clients waiting_;  // those with no request under way, in the order in which they began to wait
-    Clients busy_;     // and the others, which are never closed to make room
+    // Each in the order in which that began; the first are closed where room is wanted.
+    Clients waiting_;  // those that have said nothing since their last answer
+    Clients begun_;    // those whose request has begun to come, by when it last did
+    Clients busy_;     // those with a request under way, which are never closed to make room
     bool accepting_ = false;
-    Timer again_, quiet_;
+    Timer again_, quiet_, letting_go_;
+    std::optional<Time> evacuated_;  // since when
+    bool replaced_ = false;
+    Counter& room_made_;
     std::function<void()> drained_;
     Time answers_end_{};  // after SIGTERM: when all that is taken must be answered
     bool closing_ = false;
--- a/src/http1/http.h
+++ b/src/http1/http.h
@@ -1,36 +1,96 @@
 // What callers' and endpoints' connections share: the bounds of a message, and reading one piece by piece.
 #pragma once
 
+#include <algorithm>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/optional.hpp>
 #include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <utility>
 
 #include "core/back.h"
+#include "core/pipe.h"
 
 namespace martenford {
 
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using HttpRequest = http::request<http::string_body>;
 
-/// A caller's request as it came, less what concerns its connection alone.
-struct HttpMessage : Message {
-    explicit HttpMessage(HttpRequest&& from) : request(std::move(from)) {}
-    HttpRequest request;
-};
-
-constexpr std::size_t kMostBody = 64 * 1024;
+constexpr std::size_t kWholeBody = 64 * 1024;  // up to here a body is held whole, so that it can go again
+constexpr std::uint64_t kMostBody = 40 * 1024 * 1024;  // the platform's longest have 32 MB
+constexpr std::size_t kMostHeld = 32 * 1024;           // of a body that passes through
 constexpr std::size_t kMostHeader = 8 * 1024;
 constexpr std::size_t kReadSize = 4 * 1024;
 constexpr std::size_t kMostBuffer = kMostHeader + kReadSize;  // no more is read while this much waits
+constexpr std::size_t kPassSize = 16 * 1024;                  // read at once of a body that passes through
+
+/// Bounds what the kernel holds of what was written. Guards against megabytes on the way to a slow reader, of
+/// which a third must drain before the next piece may go: with the kernel's own choice that takes longer than
+/// a peer may stand still.
+constexpr int kSendBuffer = 64 * 1024;
+template <class Socket>
+void bound_send_buffer(Socket& socket) {
+    error_code ignored;
+    socket.set_option(typename Socket::send_buffer_size(kSendBuffer), ignored);
+}
+
+/// A body as the pieces of it that have come and were not taken yet. Unlike Beast's string_body it reserves
+/// nothing on the strength of a stated length.
+struct PieceBody {
+    using value_type = std::string;
+    class reader {
+      public:
+        template <bool isRequest, class Fields>
+        reader(http::header<isRequest, Fields>&, value_type& held) : held_(held) {}
+        void init(const boost::optional<std::uint64_t>& length, error_code& error) {
+            held_.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(length.value_or(0), kWholeBody)));
+            error = {};
+        }
+        template <class Buffers>
+        std::size_t put(const Buffers& buffers, error_code& error) {
+            std::size_t size = 0;
+            for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+                held_.append(static_cast<const char*>(buffer.data()), buffer.size());
+                size += buffer.size();
+            }
+            error = {};
+            return size;
+        }
+        void finish(error_code& error) { error = {}; }
+
+      private:
+        value_type& held_;
+    };
+};
+
+/// A caller's request as it came, less what concerns its connection alone. Its body is whole, or the rest of
+/// it comes through a pipe.
+struct HttpMessage : Message {
+    explicit HttpMessage(http::request<PieceBody>&& from)
+        : head(std::move(from.base())), body(std::move(from.body())) {}
+    bool resendable() const override { return !rest || !rest_begun; }
+
+    http::request_header<> head;
+    mutable std::string body;  // where a rest follows it, this goes out ahead and is let go
+    std::shared_ptr<Pipe> rest;
+    std::optional<std::uint64_t> length;  // of the whole, where there is a rest and the caller told it
+    mutable bool rest_begun = false;      // an attempt has taken of the rest
+};
 
 template <bool isRequest>
-using Parser = http::parser<isRequest, http::string_body>;
+using Parser = http::parser<isRequest, PieceBody>;
 
 template <bool isRequest>
 void renew(std::optional<Parser<isRequest>>& parser) {
@@ -54,4 +114,98 @@
     return {};
 }
 
+/// Reads at most as much as a connection may hold unparsed: little, but for a body that passes through.
+inline std::size_t read_size(const boost::beast::flat_buffer& buffer, bool passing) {
+    return passing ? std::min(kPassSize, buffer.max_size() - buffer.size()) : kReadSize;
+}
+
+/// Writes a message whose body is at hand, or comes through a pipe.
+template <bool isRequest>
+class Writer : public std::enable_shared_from_this<Writer<isRequest>> {
+  public:
+    using Head = http::message<isRequest, http::buffer_body>;
+
+    /// `rest` follows `body`; the head says how long the two are together, or that they come in chunks.
+    Writer(Head head, std::string_view body, std::shared_ptr<Pipe> rest)
+        : message_(std::move(head)), serializer_(message_), rest_(std::move(rest)) {
+        set_piece(body.data(), body.size(), rest_ != nullptr);
+    }
+
+    const Head& head() const { return message_; }
+    /// Called after each piece that has gone out.
+    std::function<void()> on_progress;
+    /// Called when the first piece of the rest is taken: it is held here alone from then on.
+    std::function<void()> on_rest;
+
+    /// Writes to the end and calls `done` once with how that went; partial_message where the rest was broken
+    /// off.
+    /// `owner` holds the socket and the body, and is held while a write is pending.
+    template <class Socket>
+    void run(Socket& socket, const std::shared_ptr<void>& owner,
+             std::function<void(const error_code&)> done) {
+        owner_ = owner;
+        done_ = std::move(done);
+        if (rest_) {
+            rest_->on_more([weak = this->weak_from_this(), &socket] {
+                if (const auto self = weak.lock(); self && std::exchange(self->waiting_, false))
+                    self->next(socket);
+            });
+        }
+        write(socket);
+    }
+    /// Whether the writer waits for more of the rest.
+    bool waiting() const { return waiting_; }
+    /// Calls nothing any more.
+    void stop() {
+        done_ = nullptr;
+        on_progress = nullptr;
+        if (rest_) rest_->on_more(nullptr);
+    }
+
+  private:
+    void set_piece(const void* data, std::size_t size, bool more) {
+        message_.body().data = size > 0 ? const_cast<void*>(data) : nullptr;
+        message_.body().size = size;
+        message_.body().more = more;
+    }
+    template <class Socket>
+    void write(Socket& socket) {
+        http::async_write(socket, serializer_,
+                          [self = this->shared_from_this(), owner = owner_.lock(), &socket](
+                              const error_code& error, std::size_t) {
+                              if (!self->done_) return;
+                              if (error && error != http::error::need_buffer) return self->end(error);
+                              if (!error) return self->end({});
+                              if (self->on_progress) self->on_progress();
+                              if (self->done_) self->next(socket);
+                          });
+    }
+    template <class Socket>
+    void next(Socket& socket) {
+        if (!done_) return;
+        if (rest_->empty() && rest_->state() == Pipe::State::Open) {
+            waiting_ = true;
+            return;
+        }
+        if (on_rest) std::exchange(on_rest, nullptr)();
+        piece_ = rest_->take();
+        // What was taken may have let more in, from within.
+        if (piece_.empty() && rest_->state() == Pipe::State::Broken) return end(http::error::partial_message);
+        const bool more = rest_->state() != Pipe::State::Whole || !rest_->empty();
+        set_piece(piece_.data(), piece_.size(), more);
+        write(socket);
+    }
+    void end(const error_code& error) {
+        if (const auto done = std::exchange(done_, nullptr)) done(error);
+    }
+
+    Head message_;
+    http::serializer<isRequest, http::buffer_body> serializer_;
+    std::shared_ptr<Pipe> rest_;
+    std::string piece_;
+    std::weak_ptr<void> owner_;
+    bool waiting_ = false;
+    std::function<void(const error_code&)> done_;
+};
+
 }  // namespace martenford
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,20 +6,28 @@
 #include <exception>
 #include <functional>
 #include <iostream>
+#include <optional>
 #include <sstream>
 #include <string>
 
 #include "assembly/features.h"
 #include "config/config.h"
+#include "console/console.h"
+#include "console/statsd.h"
+#include "core/tally.h"
 #include "discovery/discovery.h"
+#include "handover/handover.h"
 #include "http1/back.h"
 #include "http1/front.h"
 
 namespace martenford {
 namespace {
 
-constexpr int kBadConfig = 2;              // exit code
-constexpr std::size_t kSpareSockets = 24;  // the standard streams, the loop's own, the listener, discovery
+constexpr int kBadConfig = 2;  // exit code
+// The standard streams, the loop's own, the listener, discovery, the console's.
+constexpr std::size_t kSpareSockets = 16 + Console::kMostCallers;
+constexpr Duration kLateFirstList =
+    4s;  // a process that takes over serves by the list it was given after this
 
 /// Of a new configuration only discovery's address takes effect: the rest holds from the start on.
 void reload(Discovery& discovery) {
@@ -47,41 +55,143 @@
     return 0;
 }
 
-int serve(const Features& features) {
-    const Config config = read_config();
-    Counters counters;
-    Loop loop;
-    // Guards against dying on a SIGHUP that comes while the rest is being set up.
-    asio::signal_set hang_up(loop.io(), SIGHUP);
-    const std::size_t half = (config.sockets - kSpareSockets) / 2;
-    const std::size_t most = features.connections.most;
-    Http1Back back(loop, config.settings.limits, most > 0 ? std::min(most, half) : half,
-                   features.connections.per_endpoint, counters);
-    Engine engine(loop, back, config.settings.limits,
-                  make_policy(config.settings, config.seed, features, counters));
-    Discovery discovery(loop, back, engine, config, membership_options(features, config.settings), counters);
-    Http1Front front(loop, engine, config.settings, config.listen, half,
-                     [&] { return discovery.knows_any(); });
-    engine.on_subscribe([&] { discovery.subscribe(); });
-    engine.start();
-    discovery.start();
-    asio::signal_set signals(loop.io(), SIGTERM, SIGINT);
-    signals.async_wait([&](const boost::system::error_code& error, int) {
-        if (!error) front.drain([&] { loop.stop(); });
-    });
-    std::function<void()> await_hang_up = [&] {
-        hang_up.async_wait([&](const boost::system::error_code& error, int) {
+/// All that serves, joined.
+class Program {
+  public:
+    Program(const Features& features, const Config& config)
+        : config_(config),
+          half_((config.sockets - kSpareSockets) / 2),
+          most_back_(features.connections.most > 0 ? std::min(features.connections.most, half_) : half_),
+          hang_up_(loop_.io(), SIGHUP),
+          signals_(loop_.io(), SIGTERM, SIGINT),
+          tally_(counters_, config.settings.classes),
+          back_(loop_, config.settings.limits, most_back_, features.connections.per_endpoint, counters_),
+          engine_(loop_, back_, config.settings.limits,
+                  make_policy(config.settings, config.seed, features, counters_), tally_),
+          discovery_(loop_, back_, engine_, config, membership_options(features, config.settings), counters_),
+          front_(
+              loop_, engine_, config.settings, half_, [this] { return knows_enough(); }, counters_),
+          late_(loop_) {
+        engine_.on_subscribe([this] { discovery_.subscribe(); });
+    }
+
+    int run() {
+        signals_.async_wait([this](const boost::system::error_code& error, int) {
+            if (!error) end();
+        });
+        await_hang_up();
+        if (config_.console) {
+            console_.emplace(loop_, *config_.console, calls(), counters_);
+            std::ostringstream where;
+            where << console_->listens_at();
+            log("operators call at " + where.str());
+        }
+        const char* directory = std::getenv("TMPDIR");
+        if (directory && *directory) {
+            handover_.emplace(loop_, directory, config_.name);
+            handover_->on_company([this](bool company) { share_limits(company); });
+            handover_->look([this](std::optional<int> listener) { start(listener); });
+        } else {
+            start(std::nullopt);
+        }
+        loop_.run();
+        return 0;
+    }
+
+  private:
+    void start(std::optional<int> listener) {
+        engine_.start();
+        discovery_.start();
+        if (!listener) {
+            front_.listen(config_.listen);
+            return open();
+        }
+        // Another process serves until this one can: what was listed when its configuration was written may
+        // be long gone, so discovery is asked first, at once, since nobody else starts with it.
+        log("takes over from an earlier process");
+        listener_ = *listener;
+        may_be_late_ = true;
+        discovery_.subscribe();
+        late_.set(Loop::monotonic() + kLateFirstList, [this] {
+            may_be_late_ = false;
+            open_when_ready();
+        });
+        open_when_ready();
+    }
+    void open_when_ready() {
+        if (listener_ < 0 || ending_) return;
+        if (!knows_enough()) return again_.set(Loop::monotonic() + kLookAgain, [this] { open_when_ready(); });
+        front_.adopt(std::exchange(listener_, -1));
+        open();
+    }
+    void open() {
+        std::ostringstream where;
+        where << front_.listens_at();
+        log("listening on " + where.str());
+        if (handover_) handover_->announce([this] { return front_.listening() ? front_.listener() : -1; });
+    }
+    /// Whether it can serve: some endpoint is known, to a process that takes over by discovery's own word.
+    bool knows_enough() const { return discovery_.knows_any() && (!may_be_late_ || discovery_.heard()); }
+    bool is_ready() const { return front_.listening() && front_.is_ready(); }
+
+    /// What the two of a sidecar hold is counted together.
+    void share_limits(bool company) {
+        front_.hold_at_most(company ? half_ / 2 : half_);
+        back_.hold_at_most(company ? most_back_ / 2 : most_back_);
+    }
+
+    Calls calls() {
+        return Calls({[this] { return is_ready(); }, [this] { return statsd(counters_); },
+                      [this] {
+                          if (ending_) return false;
+                          log("evacuates: an operator said so");
+                          front_.evacuate();
+                          return true;
+                      },
+                      [this] {
+                          if (ending_) return false;
+                          log("serves again: an operator said so");
+                          front_.activate();
+                          return true;
+                      }});
+    }
+
+    void end() {
+        ending_ = true;
+        front_.drain([this] { loop_.stop(); }, handover_ && handover_->replaced());
+    }
+
+    void await_hang_up() {
+        hang_up_.async_wait([this](const boost::system::error_code& error, int) {
             if (error) return;
-            reload(discovery);
+            reload(discovery_);
             await_hang_up();
         });
-    };
-    await_hang_up();
-    std::ostringstream where;
-    where << front.listens_at();
-    log("listening on " + where.str());
-    loop.run();
-    return 0;
+    }
+
+    static constexpr Duration kLookAgain = 20ms;
+
+    const Config& config_;
+    const std::size_t half_, most_back_;
+    Counters counters_;
+    Loop loop_;
+    // First: guards against dying on a SIGHUP that comes while the rest is being set up.
+    asio::signal_set hang_up_, signals_;
+    Tally tally_;
+    Http1Back back_;
+    Engine engine_;
+    Discovery discovery_;
+    Http1Front front_;
+    std::optional<Console> console_;
+    std::optional<Handover> handover_;
+    Timer late_, again_{loop_};
+    int listener_ = -1;  // an earlier process's, until this one can serve
+    bool may_be_late_ = false, ending_ = false;
+};
+
+int serve(const Features& features) {
+    const Config config = read_config();
+    return Program(features, config).run();
 }
 
 }  // namespace
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -159,7 +159,8 @@
 struct Sent {
     Time at{};
     std::size_t class_index = 0;
-    Duration usual{};  // how long the class took by then
+    Duration usual{};       // how long the class took by then
+    bool arriving = false;  // its request's last byte has not come: it is no work yet
 };
 
 struct Server {
@@ -222,10 +223,10 @@
     bool lay_anew = false;      // the ring is to be laid out whole at the end of an update
     std::vector<Server*> cold;  // those that may still be warming up, in no order
     Time review_cold_at{};
-    std::vector<EndpointId> leaving;  // gone, with attempts out at the last look
-    std::vector<Server*> busy;        // those with attempts out, in no order: a few of a large fleet
-    int total_in_flight = 0;
-    std::map<std::uint64_t, Call> calls;                   // by number, in order of arrival
+    std::vector<EndpointId> leaving;      // gone, with attempts out at the last look
+    std::vector<Server*> busy;            // those with attempts out, in no order: a few of a large fleet
+    int total_in_flight = 0;              // of the attempts out, those whose request is here whole
+    std::map<std::uint64_t, Call> calls;  // by number, in order of arrival
     std::unordered_map<RequestId, std::uint64_t> numbers;  // looked up only, never walked
     std::uint64_t last_number = kDiscoveryToken;
     std::unordered_map<std::uint64_t, std::deque<std::uint64_t>>
@@ -546,7 +547,7 @@
         calls[number].request = request;
         ration.took(now);
         ClassView& view = views[request.class_index];
-        view.most_left = std::max(view.most_left, request.deadline - now);
+        if (!request.arriving) view.most_left = std::max(view.most_left, request.deadline - now);
         if (settings.tier == 0 ? sheds(request) : doomed(request)) return give_up(number);
         if (takes_turns(request)) turns[*request.key].push_back(number);
         try_send(number);
@@ -652,8 +653,9 @@
         if (pressure.value(now) > kCalm) return 0;
         std::ptrdiff_t count = 0;
         for (const Server* server : busy) {
-            count += std::count_if(server->out.begin(), server->out.end(),
-                                   [&](const Sent& s) { return alone(*server, s.at, s.class_index); });
+            count += std::count_if(server->out.begin(), server->out.end(), [&](const Sent& s) {
+                return !s.arriving && alone(*server, s.at, s.class_index);
+            });
         }
         return static_cast<int>(count);
     }
@@ -692,7 +694,9 @@
         for (const Sent& sent : server.out) {
             if (sent.usual > Duration{}) slow = std::max(slow, ratio(now - sent.at, sent.usual));
         }
-        const double calls = static_cast<double>(server.out.size() + 1) / std::max(server.told.weight, 0.1);
+        const auto working =
+            std::count_if(server.out.begin(), server.out.end(), [](auto& s) { return !s.arriving; });
+        const double calls = static_cast<double>(working + 1) / std::max(server.told.weight, 0.1);
         return calls * std::max(0.1, slow) * (1.0 + kBadWeight * server.bad * fade);
     }
 
@@ -734,18 +738,16 @@
             server->cold_tokens -= ramp_share(*server) < 1.0 ? 1.0 : 0.0;
             const std::size_t index = call.request.class_index;
             if (server->out.empty()) join_busy(*server);
-            server->out.push_back({now, index, views[index].usual});
-            if (++total_in_flight == 1) served_rate.busy(now);
+            const bool arriving = call.request.arriving;
+            server->out.push_back({now, index, arriving ? Duration{} : views[index].usual, arriving});
+            if (!arriving) counted_out();
             call.attempts.push_back({server->told, now, take_connection(*server)});
             // Between tiers given up once the answer is worth nothing: a silent server must not hold the slot
             // of the tier above. At the first tier that would only bring the client back sooner.
             Duration limit{};
             if (settings.tier > 0) limit = std::max(worthwhile(call.request), settings.tick);
             out->push_back(Send{call.request.id, server->told.id, limit});
-            if (settings.limits.may_cancel) {
-                call.overdue_at = now + patience(index);
-                out->push_back(SetTimer{call.overdue_at, number});
-            }
+            if (!arriving) await_overdue(number, call);
         } else if (const Time until = may_wait_until(number, call); !again && now < until) {
             hold(number, call, until);  // no server known yet, or not its turn
         } else {
@@ -753,6 +755,39 @@
         }
     }
 
+    void counted_out() {
+        if (++total_in_flight == 1) served_rate.busy(now);
+    }
+    void await_overdue(std::uint64_t number, Call& call) {
+        if (!settings.limits.may_cancel) return;
+        call.overdue_at = now + patience(call.request.class_index);
+        out->push_back(SetTimer{call.overdue_at, number});
+    }
+
+    /// From here on its attempt counts like one sent now. Guards against taking the time that a client needs
+    /// to send its body for an endpoint's.
+    void on(const Received& received) {
+        const auto known = numbers.find(received.id);
+        if (known == numbers.end()) return;
+        Call& call = calls.at(known->second);
+        if (!std::exchange(call.request.arriving, false)) return;
+        call.request.deadline = received.deadline;
+        const std::size_t index = call.request.class_index;
+        views[index].most_left = std::max(views[index].most_left, received.deadline - now);
+        for (Attempt& attempt : call.attempts) {
+            if (!attempt.out) continue;
+            counted_out();
+            if (const auto server = servers.find(attempt.to.id); server != servers.end()) {
+                auto& sent = server->second.out;
+                const auto own = std::find_if(sent.begin(), sent.end(),
+                                              [&](const Sent& s) { return s.at == attempt.sent; });
+                if (own != sent.end()) *own = {now, index, views[index].usual};
+            }
+            attempt.sent = now;
+            await_overdue(known->second, call);
+        }
+    }
+
     // ---- connections and silence ------------------------------------------------------------------
 
     /// How long the connection taken has been idle. The host takes the one used last, as is the custom.
@@ -813,7 +848,7 @@
     /// pays twice.
     void end_overdue(Call& call) {
         const auto newest = call.attempts.size() - 1;
-        if (!call.attempts[newest].out || pressure.value(now) > kCalm) return;
+        if (!call.attempts[newest].out || call.request.arriving || pressure.value(now) > kCalm) return;
         // Nobody waits for the others any more: they may end, whether or not they could go again.
         if (call.open) {
             const Duration usual = views[call.request.class_index].usual;
@@ -833,7 +868,7 @@
         if (outcome.attempt >= call.attempts.size() || !call.attempts[outcome.attempt].out) return;
         Attempt& attempt = call.attempts[outcome.attempt];
         attempt.out = false;
-        --total_in_flight;
+        if (!call.request.arriving) --total_in_flight;
         attempt.may_have_run = !proves_never_ran(outcome.status);
         if (outcome.status == Status::Moot && outcome.attempt > 0) ration.moot(attempt.sent);
         if (may_still_run(outcome.status)) call.rest_until = now + settings.rules.turn_gap;
--- /dev/null
+++ b/tests/console/calls_test.cpp
@@ -0,0 +1,103 @@
+// What operators' calls mean and how figures are written: no socket.
+#include "console/calls.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "console/statsd.h"
+#include "core/tally.h"
+
+namespace {
+
+using namespace martenford;
+
+struct Operator {
+    bool ready = true, ending = false, away = false;
+    int evacuations = 0;
+    Calls calls{{[this] { return ready && !away; }, [] { return std::string("sidecar.inflight:0|g\n"); },
+                 [this] {
+                     if (ending) return false;
+                     away = true;
+                     ++evacuations;
+                     return true;
+                 },
+                 [this] {
+                     if (ending) return false;
+                     away = false;
+                     return true;
+                 }}};
+};
+
+TEST(Calls, SayWhetherTheProcessIsReady) {
+    Operator at;
+    EXPECT_EQ(at.calls.reply("readyz"), "YES\n");
+    at.ready = false;
+    EXPECT_TRUE(at.calls.reply("readyz").starts_with("NO"));
+}
+
+TEST(Calls, EvacuateUntilActivated) {
+    Operator at;
+    EXPECT_EQ(at.calls.reply("evacuate"), "YES\n");
+    EXPECT_TRUE(at.calls.reply("readyz").starts_with("NO"));
+    EXPECT_EQ(at.calls.reply("activate"), "YES\n");
+    EXPECT_EQ(at.calls.reply("readyz"), "YES\n");
+    at.ending = true;
+    EXPECT_TRUE(at.calls.reply("evacuate").starts_with("NO"));
+    EXPECT_TRUE(at.calls.reply("activate").starts_with("NO"));
+}
+
+TEST(Calls, FiguresEndWithALineOfTheirOwn) {
+    EXPECT_EQ(Operator().calls.reply("telemetry"), "sidecar.inflight:0|g\nEND\n");
+}
+
+TEST(Calls, WhatIsNoCallIsAnsweredNoInOneLineAndDoesNothing) {
+    Operator at;
+    for (const char* line :
+         {"", " \r", "evacuate now", "EVACUATE", "readyz\n", "\x01\xff", "GET / HTTP/1.1"}) {
+        const std::string reply = at.calls.reply(line);
+        EXPECT_TRUE(reply.starts_with("NO ")) << line;
+        EXPECT_EQ(reply.find('\n'), reply.size() - 1) << line;
+    }
+    EXPECT_EQ(at.evacuations, 0);
+    EXPECT_EQ(at.calls.reply(" readyz \r"), "YES\n");  // what a terminal may add
+}
+
+TEST(Statsd, WritesEachClassAndGaugeOnceAndLeavesOthersOut) {
+    Counters counters;
+    loftfront::RequestClass look, debit;
+    look.name = "look";
+    debit.name = "debit";
+    Tally tally(counters, {look, debit});
+    counters.counter("connections.opened", "not asked for").add(7);
+    counters.gauge("membership.endpoints", "listed", [] { return 3.0; });
+    Tally::Ticket open = tally.open(1);
+    tally.open(0).end(Tally::End::Served);
+    tally.open(0).end(Tally::End::Refused);
+    EXPECT_EQ(statsd(counters),
+              "sidecar.success.look:1|c\nsidecar.busy.look:1|c\nsidecar.failure.look:0|c\n"
+              "sidecar.success.debit:0|c\nsidecar.busy.debit:0|c\nsidecar.failure.debit:0|c\n"
+              "sidecar.inflight:1|g\nsidecar.hosts_listed:3|g\n");
+}
+
+TEST(Tally, ATicketEndsOnceAndOneThatIsDroppedHasFailed) {
+    Counters counters;
+    loftfront::RequestClass look;
+    look.name = "look";
+    Tally tally(counters, {look});
+    const auto count = [&](const char* name) { return counters.counter(name, "", "look").value(); };
+    {
+        Tally::Ticket one = tally.open(0), other = std::move(one);
+        EXPECT_EQ(tally.in_flight(), 1u);
+        other.end(Tally::End::Served);
+        other.end(Tally::End::Failed);
+        one.end(Tally::End::Failed);
+        EXPECT_EQ(tally.in_flight(), 0u);
+        one = tally.open(0);
+    }
+    EXPECT_EQ(count("requests.served"), 1u);
+    EXPECT_EQ(count("requests.failed"), 1u);
+    EXPECT_EQ(tally.in_flight(), 0u);
+}
+
+}  // namespace
--- a/tests/policy/logic_test.cpp
+++ b/tests/policy/logic_test.cpp
@@ -999,6 +999,77 @@
     EXPECT_EQ(all_of<Send>(ask("z", 0)).size(), 1u);
 }
 
+/// A request whose body goes out as it comes, with room for the slowest one.
+Request arriving(const Rig& rig, const RequestId& id, Duration at_most = 60s) {
+    Request request;
+    request.id = id;
+    request.deadline = rig.now + at_most;
+    request.arriving = true;
+    return request;
+}
+
+TEST(Arriving, TimeThatABodyTakesIsNotAnEndpoints) {
+    Rig rig(plain());
+    rig.list(servers(2));
+    const auto warm = all_of<Send>(rig.request("warm"));
+    rig.advance(100ms);
+    rig.outcome(warm.at(0), Status::Ok, 0, true, 100ms);
+    const auto first = all_of<Send>(rig.give(arriving(rig, "long")));
+    ASSERT_EQ(first.size(), 1u);
+    EXPECT_TRUE(all_of<Cancel>(rig.advance(20s)).empty())
+        << "an attempt that is not whole yet is not overdue";
+    // Its endpoint is not taken to be slow: it still gets its share of the others.
+    std::size_t same = 0;
+    for (int i = 0; i < 200; ++i) {
+        const auto sent = all_of<Send>(rig.request(numbered("r", i)));
+        ASSERT_EQ(sent.size(), 1u);
+        same += sent[0].endpoint == first[0].endpoint ? 1 : 0;
+        rig.advance(1ms);
+        rig.outcome(sent[0], Status::Ok, 0, true, 100ms);
+    }
+    EXPECT_GT(same, 10u);
+    // From its last byte on it is an attempt like any other, with the time that its client has.
+    rig.give(Received{"long", rig.now + 3s});
+    const auto ended = all_of<Cancel>(rig.advance(2s));
+    ASSERT_EQ(ended.size(), 1u);
+    EXPECT_EQ(ended[0].id, "long");
+}
+
+TEST(Arriving, ManyOfThemAreNoQueueForWhichOthersAreShed) {
+    Settings settings = plain();
+    Rig rig(settings);
+    rig.list(servers(4));
+    for (int i = 0; i < 40; ++i) {  // calm: calls come back in 10 ms
+        const auto sent = all_of<Send>(rig.request(numbered("w", i)));
+        rig.advance(10ms);
+        rig.outcome(sent.at(0), Status::Ok, 0, true, 10ms);
+    }
+    for (int i = 0; i < 50; ++i)
+        ASSERT_EQ(all_of<Send>(rig.give(arriving(rig, numbered("long", i)))).size(), 1u);
+    rig.advance(500ms);
+    for (int i = 0; i < 50; ++i) {
+        const auto sent = all_of<Send>(rig.request(numbered("r", i)));
+        ASSERT_EQ(sent.size(), 1u) << "refused for bodies that are on their way";
+        rig.advance(10ms);
+        rig.outcome(sent[0], Status::Ok, 0, true, 10ms);
+    }
+}
+
+TEST(Arriving, OneThatEndsBeforeItsLastByteLeavesTheCountsAsTheyWere) {
+    Rig rig(plain(Effect::SingleShot));
+    rig.list(servers(1));
+    const auto sent = all_of<Send>(rig.give(arriving(rig, "long")));
+    rig.outcome(sent.at(0), Status::ConnectFailed, 0, true);
+    rig.give(Received{"long", rig.now + 3s});  // of what is over: passed over
+    rig.give(Received{"nobody", rig.now + 3s});
+    for (int i = 0; i < 10; ++i) {
+        const auto next = all_of<Send>(rig.request(numbered("r", i)));
+        ASSERT_EQ(next.size(), 1u);
+        rig.advance(10ms);
+        rig.outcome(next[0], Status::Ok, 0, true, 10ms);
+    }
+}
+
 TEST(Shedding, CountOfCallsOutIsTrustedOnceCallsAreSeenToWait) {
     // Guards against: a jam that shows in answers only seconds late; and a calm day taken for one.
     for (const Duration latency : {100ms, 500ms}) {
