--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -16,8 +16,10 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kWatch = 20s;         // how long a watch may wait for news
-constexpr Duration kPatience = 4s;                        // and how much longer discovery may take to say so
+constexpr std::chrono::milliseconds kWatch = 20s;  // how long a watch may wait for news
+constexpr Duration kPatience = 4s;                 // and how much longer discovery may take to say so
+constexpr Duration kWhole =
+    1500ms;  // for the rest of an answer that has begun: lists come in one piece, or stall
 constexpr Duration kAgainFirst = 100ms, kAgainMost = 2s;  // an agent that does not answer is asked again
 constexpr std::size_t kMostList = 32 * 1024 * 1024;  // 100,000 endpoints at 200 bytes, and half as many again
 
@@ -124,9 +126,16 @@
         exchange->buffer.shrink_to_fit();
         arrived(answer.body());
     };
-    const auto written = [exchange, current, read](const error_code& error, std::size_t) {
+    const auto written = [this, exchange, current, read](const error_code& error, std::size_t) {
         if (!current(error, "write")) return;
-        http::async_read(exchange->socket, exchange->buffer, *exchange->answer, read);
+        // Guards against a list that breaks off in silence: what it has to tell would be missed until the
+        // watch's end, while a fresh call brings it at once.
+        exchange->socket.async_wait(asio::ip::tcp::socket::wait_read, [this, exchange, current,
+                                                                       read](const error_code& e) {
+            if (!current(e, "wait")) return;
+            exchange->limit.set(Loop::monotonic() + kWhole, [this] { failed("an answer stopped half way"); });
+            http::async_read(exchange->socket, exchange->buffer, *exchange->answer, read);
+        });
     };
     const auto write = [exchange, written] { http::async_write(exchange->socket, exchange->call, written); };
     if (!fresh) return write();
