A connection accepted just before the listener is given up is served, not dropped

Cause: found by the test of three upgrades in a row, under the sanitizers: where the signal came between a connection's accept and its handler, the handler dropped it, since the listener was closed by then. The same could happen at a planned restart. Change: it becomes a client all the same. The listener is taken out of the loop before it is closed, since a close alone leaves a descriptor registered that another process holds too.

--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <boost/asio/socket_base.hpp>
@@ -571,13 +572,7 @@
 }
 
 void Http1Front::accepted(const error_code& error, asio::ip::tcp::socket socket) {
-    if (!acceptor_.is_open()) return;
-    if (error == asio::error::no_descriptors || error == boost::system::errc::too_many_files_open_in_system ||
-        error == asio::error::no_memory || error == asio::error::no_buffer_space) {
-        // Guards against spinning on a listener that stays ready while nothing can be accepted.
-        make_room();
-        return again_.set(Loop::monotonic() + kAcceptAgain, [this] { accept(); });
-    }
+    // Also where the listener has been given up since: this one had been accepted before.
     if (!error) {
         error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -585,6 +580,13 @@
         const auto client = std::make_shared<Client>(*this, std::move(socket));
         client->start(waiting_.insert(waiting_.end(), client));
     }
+    if (!acceptor_.is_open()) return;
+    if (error == asio::error::no_descriptors || error == boost::system::errc::too_many_files_open_in_system ||
+        error == asio::error::no_memory || error == asio::error::no_buffer_space) {
+        // Guards against spinning on a listener that stays ready while nothing can be accepted.
+        make_room();
+        return again_.set(Loop::monotonic() + kAcceptAgain, [this] { accept(); });
+    }
     accept();
 }
 
@@ -640,8 +642,10 @@
 
 void Http1Front::stop_accepting() {
     // What the kernel has accepted by now is taken over first; the loop has run all that was ready.
+    // Taken out of the loop before it is closed: where another process holds the listener too, a close alone
+    // would leave it registered here.
     error_code ignored;
-    acceptor_.close(ignored);
+    if (const int descriptor = acceptor_.release(ignored); !ignored) ::close(descriptor);
     // Clients go on using open connections, and there may be nobody else to turn to while a fleet restarts:
     // these are served for as long as their answers will be in time.
     quiet_.set(std::max(Loop::monotonic() + kLastRequest, answers_end_ - kLastAnswers),
--- a/tests/handover/handover_test.cpp
+++ b/tests/handover/handover_test.cpp
@@ -83,6 +83,8 @@
         for (int i = 0; i < 10; ++i) clients.push_back(Peer::to(port));
         for (std::size_t i = 0; i < clients.size(); ++i) {
             clients[i].send(look("g" + std::to_string(generation) + "-" + std::to_string(i)));
+            ASSERT_EQ(first_of({endpoint.poll_for(), clients[i].poll_for()}), 0u)
+                << "generation " << generation << ", client " << i << ": " << clients[i].rest();
             Peer at_endpoint = endpoint.accept();
             at_endpoint.receive();
             at_endpoint.send(answer(200, "here", "Connection: close\r\n"));
