--- a/tests/standins/emulator/virtual_transport.cpp
+++ b/tests/standins/emulator/virtual_transport.cpp
@@ -106,12 +106,11 @@
           tier_(sidecar.tier),
           settings_(settings),
           time_(transport.scheduler_),
-          engine_(
-              time_, *this, settings.limits,
-              transport.options_.policy
-                  ? transport.options_.policy(settings, seed)
-                  : make_policy(settings, seed, transport.world_.scenario().sidecars.features, counters_),
-              tally_),
+          engine_(time_, *this, settings.limits,
+                  transport.options_.policy
+                      ? transport.options_.policy(settings, seed)
+                      : make_policy(settings, seed, transport.world_.scenario().sidecars.features, counters_),
+                  tally_),
           membership_(membership_options(transport.world_.scenario().sidecars.features, settings)),
           again_(time_),
           doubt_(time_) {
