An upload that its client breaks off is no fault of its endpoint

Cause: found on reading again. The pipe was broken before the engine heard that the client had left, so that the attempt ended as a failed connect: it counted against the endpoint, and bad framing was answered 400 or 503 by chance. Change: the engine hears first, and the attempt ends as never sent; a test also looks at the figures. Whether the added check fails without the mend was not tried.

--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -233,8 +233,11 @@
     void left() {
         const auto self = shared_from_this();
         const bool open = stage_ == Stage::Waiting;
+        const auto upload = std::exchange(upload_, nullptr);
         close();
+        // Before its body breaks off: guards against blaming the endpoint that was getting it.
         if (open) front_.engine_.leave(id_);
+        if (upload) upload->fail();
     }
 
     void parse() {
@@ -312,10 +315,10 @@
 
     /// The rest of a request that has been taken will not come, or can't be read.
     void abandon_upload() {
-        std::exchange(upload_, nullptr)->fail();
         const auto self = shared_from_this();
-        if (stage_ != Stage::Waiting) return;
-        front_.engine_.leave(id_);
+        const auto upload = std::exchange(upload_, nullptr);
+        front_.engine_.leave(id_);  // first, as in left()
+        upload->fail();
         turn_away(http::status::bad_request, false);
     }
 
--- a/tests/http1/passing_test.cpp
+++ b/tests/http1/passing_test.cpp
@@ -262,6 +262,8 @@
     EXPECT_FALSE(all.ends_with("0\r\n\r\n"));
     EXPECT_EQ(sidecar.figure("backend_calls"), 0.0);
     EXPECT_EQ(sidecar.figure("inflight"), 0.0);
+    EXPECT_EQ(sidecar.figure("busy.debit"), 0.0)
+        << "ended as a connect that failed, which blames the endpoint";
     EXPECT_TRUE(endpoint.untouched());
 }
 
