A step in own arrivals and an instance's first calls are no longer taken for a queue

What comes back has the pace of what went out before the step, for as long as a usual call takes. Ruled out: cold connections (few were new), reach (ring of 4, all in use), the retry budget (refused on arrival, with nothing sent).

Change: calls out are due at the pace at which calls went out in the last usual time, within the step that one leaving replica explains (R/(R-1), where there are no more than 9), and freely while fewer than eight have come back.

--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <limits>
 #include <map>
 #include <set>
 #include <stdexcept>
@@ -38,10 +39,14 @@
 constexpr double kBadWeight = 10.0;    // a server that fails always looks as loaded as with ten calls more
 constexpr double kPressureMost = 1.5;  // a call that waited this many times its room counts no more than that
 constexpr double kPressureGain = 0.1;  // weight of the newest call: a single slow one does not shed
-constexpr Duration kPressureFade = 1s;  // pressure halves in this time where nothing comes back
-constexpr std::int64_t kRateSpan = 8;   // calls that a rate is averaged over: few, to follow a burst
-constexpr double kRateSilent = 3.0;     // a silence this many times the usual gap is no longer chance
-constexpr double kRateChance = 1.0;     // deviations of calls out that are put down to chance on a calm day
+constexpr Duration kPressureFade = 1s;   // pressure halves in this time where nothing comes back
+constexpr std::int64_t kRateSpan = 8;    // calls that a rate is averaged over: few, to follow a burst
+constexpr std::int64_t kUsualSpan = 32;  // and their latency: it must not follow a queue as it builds up
+constexpr std::size_t kMostSent = 4096;  // calls whose sending is remembered
+constexpr double kFewOthers =
+    8.0;  // replicas that one's leaving shows at: a rate is within 1/sqrt(8) of true
+constexpr double kRateSilent = 3.0;  // a silence this many times the usual gap is no longer chance
+constexpr double kRateChance = 1.0;  // deviations of calls out that are put down to chance on a calm day
 constexpr double kShedFrom = 0.1;  // pressure from which the least worth is shed; the scan is in the results
 constexpr double kShedSpread = 0.4;    // how much more pressure the class of most worth stands
 constexpr double kShedWidth = 0.15;    // over which shedding grows from none to all: a jam must not build up
@@ -130,29 +135,54 @@
     Time at_{};
 };
 
-/// How fast calls come back served.
-class ServedRate {
+/// How fast calls go out and come back served.
+class CallRates {
   public:
-    /// The time in which nothing was out says nothing of how fast calls come back.
-    void busy(Time now) { last_ = now; }
-    void served(Time now) {
+    /// `first`: nothing else is out. That time says nothing of how fast calls come back.
+    void sent(Time now, bool first) {
+        if (first) last_ = now;
+        sent_.push_back(now);
+        // Until one has come back all are kept: they will then be told by how long that took.
+        while (sent_.size() > kMostSent || (usual_ > Duration{} && now - sent_.front() > usual_)) {
+            sent_.pop_front();
+        }
+    }
+    void served(Time now, Duration latency) {
+        usual_ += usual_ == Duration{} ? latency : (latency - usual_) / kUsualSpan;
         count_ = std::min(count_ + 1, kRateSpan);
         const double gap = static_cast<double>((now - last_).count());
         gap_ += (gap - gap_) / static_cast<double>(count_);
         last_ = now;
     }
     /// How long as many calls as this would take to come back; those that chance may account for don't count.
-    Duration time_for(int calls, double chance, Time now) const {
-        // Before anything has come back the silence itself is all that is known.
+    /// `step`: how many times its calls an instance may get at once without more for the servers, as when a
+    /// neighbour drains. Calls that went out faster than others come back then show in what comes back only
+    /// after as long as one usually takes: until then they are due at their own pace, up to that step, or at
+    /// any while too few have come back to tell their pace. Guards against taking a step, or an instance's
+    /// first calls, for servers that have become slow (where it is 1 both are taken for that: a fleet that
+    /// starts under overload tips over). `patience`: a silence that says nothing before any call has come
+    /// back.
+    Duration time_for(int calls, double chance, double step, Duration patience, Time now) const {
+        if (count_ == 0 && step > 1.0 && now - last_ <= patience) return Duration{};
         const double silent = static_cast<double>((now - last_).count()) / (count_ ? kRateSilent : 1.0);
         const double above_chance = calls - chance * std::sqrt(static_cast<double>(calls));
-        return Duration{static_cast<Duration::rep>(above_chance * std::max(gap_, silent))};
+        const double gap = std::max(gap_, silent),
+                     least = step > 1.0 && count_ < kRateSpan ? 0.0 : gap / step;
+        return Duration{static_cast<Duration::rep>(above_chance * std::clamp(gap_of_sent(now), least, gap))};
     }
 
   private:
+    double gap_of_sent(Time now) const {
+        const auto since = std::lower_bound(sent_.begin(), sent_.end(), now - usual_);
+        if (usual_ == Duration{} || since == sent_.end()) return std::numeric_limits<double>::infinity();
+        return static_cast<double>(usual_.count()) / static_cast<double>(sent_.end() - since);
+    }
+
     std::int64_t count_ = 0;
     Time last_{};
-    double gap_ = 0.0;  // between served calls, averaged
+    double gap_ = 0.0;       // between served calls, averaged
+    Duration usual_{};       // latency of served calls of all classes, averaged
+    std::deque<Time> sent_;  // in that time
 };
 
 /// An attempt on its way.
@@ -238,7 +268,7 @@
 
     std::vector<ClassView> views;
     Pressure pressure;
-    ServedRate served_rate;
+    CallRates rates;
     Duration stale_after{};  // connections idle for longer are closed before use; 0: none are
     Time stale_seen{};
     double silence_idle = 0.0, silence_fresh = 0.0;  // share met with silence, by the connection's kind
@@ -627,11 +657,19 @@
         // the earlier sign. Guards against jams that show too late in a few answers a second.
         const double waits = pressure.value(now), calm = 1.0 - waits / (kShedFrom + kShedSpread);
         const Duration coming_back =
-            served_rate.time_for(total_in_flight - alone_out(), kRateChance * std::max(0.0, calm), now);
+            rates.time_for(total_in_flight - alone_out(), kRateChance * std::max(0.0, calm),
+                           neighbours_step(), patience(request.class_index), now);
         const double coming = room > Duration{} ? ratio(coming_back - view.floor, room) : 0.0;
         return random.unit() * kShedWidth < std::max(waits, coming) - from;
     }
 
+    /// How many times its calls an instance gets when one of its replicas leaves. Among many that is less
+    /// than what the estimate moves by itself.
+    double neighbours_step() const {
+        const double others = settings.replicas - 1.0;
+        return others < 1.0 || others > kFewOthers ? 1.0 : (others + 1.0) / others;
+    }
+
     /// How long an attempt is out before it is overdue.
     Duration patience(std::size_t class_index) const {
         const Duration usual = views[class_index].usual;
@@ -755,9 +793,7 @@
         }
     }
 
-    void counted_out() {
-        if (++total_in_flight == 1) served_rate.busy(now);
-    }
+    void counted_out() { rates.sent(now, ++total_in_flight == 1); }
     void await_overdue(std::uint64_t number, Call& call) {
         if (!settings.limits.may_cancel) return;
         call.overdue_at = now + patience(call.request.class_index);
@@ -884,7 +920,7 @@
         learn(call, attempt.sent, outcome);
         if (outcome.status == Status::Ok) {
             budget.earn();
-            served_rate.served(now);
+            rates.served(now, outcome.latency);
             warm_up();
         }
         if (outcome.last) call.open = false;
--- a/tests/policy/logic_test.cpp
+++ b/tests/policy/logic_test.cpp
@@ -1088,6 +1088,52 @@
     }
 }
 
+/// Steady calls that take `before`; from 4 s on they come `times` as often and take `after`. Gives back how
+/// many of those that came in the second after the step were declined.
+int declined_at_step(std::uint32_t replicas, double times, Duration before, Duration after) {
+    Settings settings = plain();
+    settings.replicas = replicas;
+    settings.classes.push_back(settings.classes[0]);
+    settings.classes[0].aim = 700ms;
+    settings.classes[1].worth = 40.0;  // never asked for: these calls are of the least worth
+    Rig rig(settings);
+    rig.list(servers(8));
+    std::multimap<Time, Send> due;
+    const Time step = rig.now + 4s;
+    int declined = 0;
+    for (int i = 0; rig.now < step + 1s; ++i) {
+        const bool later = rig.now >= step;
+        const Duration latency = later ? after : before;
+        if (const auto send = only<Send>(rig.request(numbered("r", i)))) {
+            due.emplace(rig.now + latency, *send);
+        } else {
+            declined += 1;
+        }
+        const Time next =
+            rig.now + (later ? Duration{static_cast<Duration::rep>(Duration{20ms}.count() / times)} : 20ms);
+        while (!due.empty() && due.begin()->first <= next) {
+            const auto [at, send] = *due.begin();
+            due.erase(due.begin());
+            rig.advance(at - rig.now);
+            rig.outcome(send, Status::Ok, 0, true, latency);
+        }
+        rig.advance(next - rig.now);
+    }
+    return declined;
+}
+
+TEST(Shedding, StepInOwnArrivalsIsToldApartFromServersThatSlowDown) {
+    // Guards against: taking a neighbour's calls for a queue while it drains, since what comes back still has
+    // the pace of what went out before; and against overlooking servers that become slow at that moment.
+    EXPECT_EQ(declined_at_step(2, 1.0, 250ms, 250ms), 0) << "a steady day, from its first call on";
+    EXPECT_EQ(declined_at_step(2, 2.0, 250ms, 250ms), 0) << "a neighbour leaves, servers stay as they are";
+    EXPECT_GT(declined_at_step(2, 2.0, 250ms, 900ms), 10) << "a neighbour leaves and servers slow down";
+    EXPECT_GT(declined_at_step(2, 1.0, 250ms, 900ms), 5) << "servers slow down";
+    EXPECT_GT(declined_at_step(2, 8.0, 250ms, 250ms), 10) << "more than a neighbour could have had";
+    EXPECT_GT(declined_at_step(60, 2.0, 250ms, 250ms), 10) << "among many no neighbour explains it";
+    EXPECT_GT(declined_at_step(1, 2.0, 250ms, 250ms), 10) << "nor where there is none";
+}
+
 TEST(Doomed, CallOfAnInnerTierThatCannotBeInTimeIsDeclinedAtOnce) {
     // Guards against: a jam in which slots above are held for calls whose answers nobody wants any more.
     Settings settings = plain(Effect::SingleShot);
