A call that may not go again keeps off endpoints that answer errors at once

A failing endpoint counts as ten calls; with a neighbour out the sound ones held seven, and it looked no busier than they.

Change: errors that come sooner than the work can be done weigh ten times more to a call that may not go again, and less the more calls are seen to wait: there a place is worth more.

--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -37,6 +37,8 @@
 constexpr Duration kViewHalf = 10s;    // a view fades by half in this: many troubles last some tens of s
 constexpr double kTie = 0.9;           // loads closer than this are alike
 constexpr double kBadWeight = 10.0;    // a server that fails always looks as loaded as with ten calls more
+constexpr double kBadOnce = 100.0;     // and its quick errors more yet to a call that may not go again
+constexpr double kSpareUntil = 0.3;    // pressure from which a place is worth more than a server's good name
 constexpr double kPressureMost = 1.5;  // a call that waited this many times its room counts no more than that
 constexpr double kPressureGain = 0.1;  // weight of the newest call: a single slow one does not shed
 constexpr Duration kPressureFade = 1s;   // pressure halves in this time where nothing comes back
@@ -195,10 +197,11 @@
 
 struct Server {
     Endpoint told;
-    std::vector<Sent> out;   // own attempts
-    std::vector<Time> idle;  // connections that carry nothing, by when that began
-    double slow = 1.0;       // its latency against what is usual
-    double bad = 0.0;        // share of its answers that failed, lately
+    std::vector<Sent> out;      // own attempts
+    std::vector<Time> idle;     // connections that carry nothing, by when that began
+    double slow = 1.0;          // its latency against what is usual
+    double bad = 0.0;           // share of its answers that failed, lately
+    double quick_errors = 0.0;  // and of errors before the work can have been done
     Time heard{};
     Time quick_sent{};          // the newest call that it has served without being overdue
     double cold_tokens = 0.0;   // earned by served calls while it is cold
@@ -523,7 +526,7 @@
         std::sort(out_of_it.begin(), out_of_it.end());
         out_of_it.erase(std::unique(out_of_it.begin(), out_of_it.end()), out_of_it.end());
         if (out_of_it.size() == wanted) return pick_by_look(call, wanted);
-        return less_loaded(wanted - out_of_it.size(), [&](std::size_t i) {
+        return less_loaded(call, wanted - out_of_it.size(), [&](std::size_t i) {
             for (const std::size_t out : out_of_it) i += out <= i ? 1 : 0;
             return &at(i);
         });
@@ -548,11 +551,11 @@
         }
         // Where only cold servers are left they must serve: a call held back until its end is lost for sure.
         std::vector<Server*>& from = !fresh.empty() ? fresh : tried.empty() ? spared : tried;
-        return less_loaded(from.size(), [&](std::size_t i) { return from[i]; });
+        return less_loaded(call, from.size(), [&](std::size_t i) { return from[i]; });
     }
 
     template <typename Nth>
-    Server* less_loaded(std::size_t count, Nth nth) {
+    Server* less_loaded(const Call& call, std::size_t count, Nth nth) {
         if (count == 0) return nullptr;
         const std::size_t first = random.below(count);
         if (count == 1) return nth(first);
@@ -561,7 +564,12 @@
         // Near enough is a tie, left to the draw: a server out of favour is heard of again once its view has
         // faded.
         Server *a = nth(first), *b = nth(second);
-        return load(*b) < load(*a) * kTie ? b : a;
+        // Guards against failing a call for good for the sake of a shorter wait.
+        double once = 0.0;
+        if (settings.classes[call.request.class_index].effect == Effect::SingleShot) {
+            once = kBadOnce * std::max(0.0, 1.0 - pressure.value(now) / kSpareUntil);
+        }
+        return load(*b, once) < load(*a, once) * kTie ? b : a;
     }
 
     // ---- requests ---------------------------------------------------------------------------------
@@ -712,19 +720,26 @@
         const bool answered = outcome.status == Status::Ok, ended = outcome.status == Status::Cancelled;
         const double fade = fading(server);
         server.slow = 1.0 + (server.slow - 1.0) * fade;
-        server.bad = server.bad * fade;
+        server.bad *= fade;
+        server.quick_errors *= fade;
         if ((answered || ended || outcome.status == Status::Timeout) && view.usual > Duration{}) {
             server.slow += (ratio(outcome.latency, view.usual) - server.slow) * kViewGain;
         }
         // One that was ended here for being overdue has been slow until then; nothing has failed.
-        if (!ended) server.bad += ((answered ? 0.0 : 1.0) - server.bad) * kViewGain;
+        if (!ended) {
+            server.bad += ((answered ? 0.0 : 1.0) - server.bad) * kViewGain;
+            // Sooner than the work can have been done: its own failure, and not that of a tier below it.
+            const bool own = outcome.status == Status::Error && outcome.latency < view.floor / 2;
+            server.quick_errors += ((own ? 1.0 : 0.0) - server.quick_errors) * kViewGain;
+        }
         server.heard = now;
     }
 
     double fading(const Server& server) const { return std::exp2(-ratio(now - server.heard, kViewHalf)); }
 
     /// What the comparison goes by: own calls in flight, weighed by the told size and what was seen lately.
-    double load(const Server& server) const {
+    /// `once`: what errors weigh besides, to a call that may not go again.
+    double load(const Server& server, double once) const {
         const double fade = fading(server);
         double slow = 1.0 + (server.slow - 1.0) * fade;
         // A call that is overdue tells as much as one that came back late. Guards against a server that
@@ -735,7 +750,8 @@
         const auto working =
             std::count_if(server.out.begin(), server.out.end(), [](auto& s) { return !s.arriving; });
         const double calls = static_cast<double>(working + 1) / std::max(server.told.weight, 0.1);
-        return calls * std::max(0.1, slow) * (1.0 + kBadWeight * server.bad * fade);
+        return calls * std::max(0.1, slow) *
+               (1.0 + (kBadWeight * server.bad + once * server.quick_errors) * fade);
     }
 
     void learn(const Call& call, Time sent, const Outcome& outcome) {
--- a/tests/policy/logic_test.cpp
+++ b/tests/policy/logic_test.cpp
@@ -817,6 +817,43 @@
     EXPECT_GT(calls_to_odd_server(Status::Ok, 100ms), 30);
 }
 
+/// Of 60 calls that come while each sound server holds eight, how many go to one that answers half of its
+/// calls with an error at once.
+int sent_to_the_failing(Effect effect, Duration waits) {
+    Settings settings = plain(effect);
+    settings.classes.push_back(make_class(Effect::Free));
+    settings.limits.max_attempts = 1;
+    Rig rig(settings);
+    rig.list(servers(4));
+    int at_failing = 0, toward = 0;
+    std::deque<Send> held;
+    for (int i = 0; i < 400; ++i) {
+        const auto send = only<Send>(keyed(rig, numbered("r", i), std::nullopt, i % 4 == 0 ? 0 : 1));
+        if (!send) continue;
+        if (send->endpoint == EndpointId{1}) {
+            if (i >= 160 && i % 4 == 0) ++toward;
+            rig.advance(1ms);
+            const bool sound = at_failing++ % 2 == 1;
+            rig.outcome(*send, sound ? Status::Ok : Status::Error, 0, true, sound ? 120ms : 1ms);
+            continue;
+        }
+        held.push_back(*send);
+        rig.advance(5ms);
+        if (held.size() <= 24) continue;
+        rig.outcome(held.front(), Status::Ok, 0, true, 120ms + (i > 100 ? waits : Duration{}));
+        held.pop_front();
+    }
+    return toward;
+}
+
+TEST(View, UnsafeCallKeepsOffQuickErrorsThatOthersMayRisk) {
+    // Guards against: an endpoint that fails at once looks idle beside sound ones that hold several calls
+    // each, and a call that may not go again fails there for good.
+    EXPECT_LE(sent_to_the_failing(Effect::SingleShot, 0ms), 2);
+    EXPECT_GT(sent_to_the_failing(Effect::Free, 0ms), 8) << "one that may go again does not wait for others";
+    EXPECT_GT(sent_to_the_failing(Effect::SingleShot, 500ms), 8) << "where all wait its place is worth more";
+}
+
 TEST(View, ToldSizeWeighsTheCallsInFlight) {
     // Guards against: servers of half the size held as full as the others.
     Rig rig(plain());
