A silent watch is given up when endpoints are not as listed, and one lost call keeps none out

(2) A debit lost with its connection keeps its endpoint out of both sidecars' choice for its 6 s, and by its time-out (a latency of 6 s) for ten more: the view "avoided endpoints serve no later call that could show them alive". Ruled out: cold endpoints (all had tokens), the lower tiers (latencies 150 and 100 ms throughout), retry budget.

Change: (1) Staleness, pure: an endpoint that refuses two connections or turns four requests away in a row while others serve and don't turn as much away has discovery asked anew on a fresh connection, at 2 to 16 s apart, slower in large fleets; a connection to discovery that does not come up is given up after 1.5 s (24 s before). (2) A call that can go again without harm may try an endpoint whose only call out is overdue; once a later call was served there, the lost one counts neither as load nor, by its end, as slowness.

For (2): a probe (costs endpoints work at every suspicion and says only that the process runs); a second copy at once (adds load where all are slow); a share over connections (a sidecar holds one to three to an endpoint: too few to count).

Tests: the module's fails without the mend (0 calls in place of 8); the socket test's watch was never given up while it saw too little.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -139,6 +139,7 @@
     if (it == calls_.end()) return;
     Call& call = it->second;
     call.attempts[number].out = false;
+    const Status status = result.status;
     Outcome outcome{id,
                     static_cast<AttemptNumber>(number),
                     endpoint,
@@ -164,6 +165,7 @@
     outcome.last = still == calls_.end() || !still->second.reply;
     forget_if_over(id);
     post(std::move(outcome));
+    if (ended_) ended_(endpoint, status);
 }
 
 /// The one place that completes a request: at most once, and nothing more of it goes out.
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -38,6 +38,8 @@
 
     /// What the module's Subscribe calls.
     void on_subscribe(std::function<void()> subscribe) { subscribe_ = std::move(subscribe); }
+    /// Sees how each attempt ended, whatever the module makes of it.
+    void on_ended(std::function<void(EndpointId, loftfront::Status)> ended) { ended_ = std::move(ended); }
     void start();
 
     /// Takes a request; `reply` is called once, unless the client leaves first. False where one with the same
@@ -78,6 +80,7 @@
     std::unique_ptr<Policy> policy_;
     Tally& tally_;
     std::function<void()> subscribe_;
+    std::function<void(EndpointId, loftfront::Status)> ended_;
     std::deque<loftfront::Event> events_;
     bool handling_ = false;
     std::unordered_map<loftfront::RequestId, Call> calls_;
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::chrono::milliseconds kWatch = 20s;  // how long a watch may wait for news
 constexpr Duration kPatience = 4s;                 // and how much longer discovery may take to say so
+constexpr Duration kConnect = 1500ms;   // for its connection: what does not come up so soon never may
+constexpr Duration kAskSpread = 500ms;  // all sidecars may suspect a list at once
 constexpr Duration kWhole =
     1500ms;  // for the rest of an answer that has begun: lists come in one piece, or stall
 constexpr Duration kAgainFirst = 100ms, kAgainMost = 2s;  // an agent that does not answer is asked again
@@ -51,8 +53,12 @@
       config_(config),
       address_(config.discovery),
       membership_(options),
+      staleness_(config.settings.replicas),
+      asked_anew_(counters.counter("discovery.asked_anew",
+                                   "silent watches given up because endpoints were not as listed")),
       again_(loop),
       doubt_(loop),
+      suspect_(loop),
       random_(config.seed) {
     const auto enter = [&](const char* name, const char* help, auto read) {
         counters.gauge(name, help, [this, read] { return static_cast<double>(read(membership_)); });
@@ -112,7 +118,7 @@
     exchange->call.set(http::field::host, "discovery");
     exchange->answer.emplace();
     exchange->answer->body_limit(kMostList);
-    exchange->limit.set(Loop::monotonic() + kWatch + kPatience, [this] { failed("no answer in time"); });
+    exchange->limit.set(Loop::monotonic() + kConnect, [this] { failed("no connection in time"); });
     const auto current = [this, exchange](const error_code& error, const char* what) {
         if (exchange_ != exchange) return false;
         if (error) failed(std::string(what) + ": " + error.message());
@@ -137,7 +143,10 @@
             http::async_read(exchange->socket, exchange->buffer, *exchange->answer, read);
         });
     };
-    const auto write = [exchange, written] { http::async_write(exchange->socket, exchange->call, written); };
+    const auto write = [this, exchange, written] {
+        exchange->limit.set(Loop::monotonic() + kWatch + kPatience, [this] { failed("no answer in time"); });
+        http::async_write(exchange->socket, exchange->call, written);
+    };
     if (!fresh) return write();
     exchange->socket.async_connect(address_, [exchange, current, write](const error_code& error) {
         if (!current(error, "connect")) return;
@@ -147,6 +156,18 @@
     });
 }
 
+void Discovery::saw(EndpointId id, Status status) {
+    if (!staleness_.ended(id, status, Loop::monotonic()) || !exchange_) return;
+    Random random(random_);
+    random_ = random.next();
+    suspect_.set(Loop::monotonic() + scaled(kAskSpread, random.unit()), [this] {
+        if (!exchange_) return;
+        log("discovery: endpoints are not as listed; asked anew");
+        asked_anew_.add();
+        ask_anew();
+    });
+}
+
 void Discovery::drop_exchange() {
     if (!exchange_) return;
     error_code ignored;
@@ -177,6 +198,8 @@
             return failed("an answer was skipped: " + update.remark);
         }
         heard_ = true;
+        suspect_.cancel();
+        staleness_.told(!list.targets.empty(), Loop::monotonic());
         apply(std::move(update));
         // The parser keeps some ten times the longest text that it has read.
         if (body.size() > kLargeList) parser_ = simdjson::dom::parser();
--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -11,6 +11,7 @@
 #include "core/loop.h"
 #include "core/placement.h"
 #include "membership/membership.h"
+#include "membership/staleness.h"
 
 namespace martenford {
 
@@ -26,6 +27,9 @@
     void subscribe();
     /// Goes on at another address, at once; what is known stays until the agent there has told its list.
     void move(const Address& address);
+    /// How an attempt ended: where a watch is silent and endpoints are not as listed, discovery is asked
+    /// anew.
+    void saw(EndpointId id, loftfront::Status status);
     /// Whether any endpoint is known to serve.
     bool knows_any() const { return membership_.knows_any(); }
     /// Whether discovery itself has told a list since the start.
@@ -48,7 +52,9 @@
     Address address_;
     Membership membership_;
     std::shared_ptr<Exchange> exchange_;  // the connection, while watching
-    Timer again_, doubt_;
+    Staleness staleness_;
+    Counter& asked_anew_;
+    Timer again_, doubt_, suspect_;
     Duration wait_{};
     bool heard_ = false;
     bool whole_ = false;  // the next call asks for the whole list
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -73,6 +73,7 @@
               loop_, engine_, config.settings, half_, [this] { return knows_enough(); }, counters_),
           late_(loop_) {
         engine_.on_subscribe([this] { discovery_.subscribe(); });
+        engine_.on_ended([this](EndpointId id, loftfront::Status status) { discovery_.saw(id, status); });
     }
 
     int run() {
--- /dev/null
+++ b/src/membership/staleness.h
@@ -0,0 +1,48 @@
+// Whether the list of endpoints looks older than what attempts meet. Pure: outcomes, lists and times come in,
+// the wish to ask discovery again goes out. docs/daily-running.md has the reasons.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+
+#include "core/scheduler.h"
+#include "loftfront/balancer.h"
+
+namespace martenford {
+
+/// A watch that has gone silent looks like one with nothing to tell. What tells them apart is endpoints that
+/// are listed as ready and take nothing any more, while others serve as ever.
+class Staleness {
+  public:
+    /// `replicas`: sidecars that may come to the same conclusion at one time; discovery must bear them all.
+    explicit Staleness(std::uint32_t replicas);
+
+    /// How an attempt at a listed endpoint ended. True: discovery is worth asking again, not before `told`
+    /// has been silent for a while and no oftener than every 2 s to 16 s.
+    bool ended(loftfront::EndpointId id, loftfront::Status status, Time now);
+    /// Discovery has answered; `changed`: with news.
+    void told(bool changed, Time now);
+
+    std::size_t suspects() const { return runs_.size(); }
+
+  private:
+    /// Attempts in a row that an endpoint took nothing of, with what the others did meanwhile.
+    struct Run {
+        Time since{};
+        Time last{};
+        int refused = 0;                                          // connections that did not come up
+        int turned_away = 0;                                      // answered so, without having run
+        std::uint64_t served_before = 0, turned_away_before = 0;  // by all, when the run began
+    };
+    bool convinces(const Run& run, Time now) const;
+
+    const Duration first_wait_;
+    Duration wait_;
+    Time told_at_{}, asked_at_{};
+    bool asked_ = false;
+    std::uint64_t served_ = 0, turned_away_ = 0;  // by all
+    std::unordered_map<loftfront::EndpointId, Run> runs_;
+};
+
+}  // namespace martenford
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -566,10 +566,12 @@
         Server *a = nth(first), *b = nth(second);
         // Guards against failing a call for good for the sake of a shorter wait.
         double once = 0.0;
-        if (settings.classes[call.request.class_index].effect == Effect::SingleShot) {
+        const Effect effect = settings.classes[call.request.class_index].effect;
+        if (effect == Effect::SingleShot) {
             once = kBadOnce * std::max(0.0, 1.0 - pressure.value(now) / kSpareUntil);
         }
-        return load(*b, once) < load(*a, once) * kTie ? b : a;
+        const bool asks = effect == Effect::Free;
+        return load(*b, once, asks) < load(*a, once, asks) * kTie ? b : a;
     }
 
     // ---- requests ---------------------------------------------------------------------------------
@@ -716,13 +718,14 @@
         busy.pop_back();
     }
 
-    void look(Server& server, const ClassView& view, const Outcome& outcome) {
+    void look(Server& server, const ClassView& view, const Outcome& outcome, bool lost) {
         const bool answered = outcome.status == Status::Ok, ended = outcome.status == Status::Cancelled;
         const double fade = fading(server);
         server.slow = 1.0 + (server.slow - 1.0) * fade;
         server.bad *= fade;
         server.quick_errors *= fade;
-        if ((answered || ended || outcome.status == Status::Timeout) && view.usual > Duration{}) {
+        // One that waited alone was lost, for which its server is not slow.
+        if (!lost && (answered || ended || outcome.status == Status::Timeout) && view.usual > Duration{}) {
             server.slow += (ratio(outcome.latency, view.usual) - server.slow) * kViewGain;
         }
         // One that was ended here for being overdue has been slow until then; nothing has failed.
@@ -738,14 +741,19 @@
     double fading(const Server& server) const { return std::exp2(-ratio(now - server.heard, kViewHalf)); }
 
     /// What the comparison goes by: own calls in flight, weighed by the told size and what was seen lately.
-    /// `once`: what errors weigh besides, to a call that may not go again.
-    double load(const Server& server, double once) const {
+    /// `once`: what errors weigh besides, to a call that may not go again. `asks`: the call can go again
+    /// without harm, and may find out whether a server stands still or a single call to it was lost: nothing
+    /// else would, since a server that is avoided serves nothing that could show it.
+    double load(const Server& server, double once, bool asks) const {
         const double fade = fading(server);
         double slow = 1.0 + (server.slow - 1.0) * fade;
         // A call that is overdue tells as much as one that came back late. Guards against a server that
         // stands still, vanished or lost its connections unseen: it gives no answers to go by.
+        const bool doubtful = asks && server.out.size() == 1;
         for (const Sent& sent : server.out) {
-            if (sent.usual > Duration{}) slow = std::max(slow, ratio(now - sent.at, sent.usual));
+            if (sent.usual == Duration{} || alone(server, sent.at, sent.class_index)) continue;
+            const bool overdue = now - sent.at > patience(sent.class_index);
+            if (!overdue || !doubtful) slow = std::max(slow, ratio(now - sent.at, sent.usual));
         }
         const auto working =
             std::count_if(server.out.begin(), server.out.end(), [](auto& s) { return !s.arriving; });
@@ -762,8 +770,10 @@
         bool waits = true;
         if (const auto server = servers.find(outcome.endpoint); server != servers.end()) {
             const bool in_time = now - sent <= patience(index);
-            if (outcome.status == Status::Timeout && alone(server->second, sent, index)) waits = false;
-            look(server->second, view, outcome);
+            const bool lost = (outcome.status == Status::Timeout || outcome.status == Status::Cancelled) &&
+                              alone(server->second, sent, index);
+            if (lost) waits = false;
+            look(server->second, view, outcome, lost);
             if (outcome.status == Status::Ok && in_time) {
                 server->second.quick_sent = std::max(server->second.quick_sent, sent);
             }
--- a/tests/discovery/discovery_test.cpp
+++ b/tests/discovery/discovery_test.cpp
@@ -79,6 +79,55 @@
     EXPECT_TRUE(has(second.accept().receive(), "X-Request-ID: r1"));
 }
 
+TEST(Discovery, ASilentWatchIsGivenUpWhereAnEndpointIsGoneAndOthersServe) {
+    Listener discovery, gone, sound;
+    Sidecar sidecar(config(discovery.address(),
+                           target("s-1", gone.address()) + "," + target("s-2", sound.address()),
+                           "automatic"));
+    Peer watch = discovery.accept();
+    EXPECT_TRUE(has(watch.receive(), "since=41&"));
+    gone.close();
+    // Eight at a time, so that the sound one never looks idle beside the one that is gone.
+    std::vector<Peer> clients, at_sound;
+    for (int i = 0; i < 8; ++i) clients.push_back(sidecar.client());
+    int rounds = 0;
+    for (; rounds < 300 && discovery.untouched(); ++rounds) {
+        for (std::size_t i = 0; i < clients.size(); ++i) {
+            clients[i].send(debit("r" + std::to_string(rounds) + "-" + std::to_string(i)));
+        }
+        std::vector<std::size_t> asked;
+        std::vector<bool> refused(clients.size());
+        while (asked.size() + static_cast<std::size_t>(std::count(refused.begin(), refused.end(), true)) <
+               clients.size()) {
+            std::vector<pollfd> polls{sound.poll_for()};
+            for (const Peer& peer : at_sound) polls.push_back(peer.poll_for());
+            for (const Peer& client : clients) polls.push_back(client.poll_for());
+            const std::size_t ready = first_of(polls);
+            ASSERT_LT(ready, polls.size());
+            if (ready == 0) {
+                at_sound.push_back(sound.accept());
+            } else if (ready > at_sound.size()) {
+                const std::size_t client = ready - 1 - at_sound.size();
+                EXPECT_EQ(status_of(clients[client].receive()), 503);
+                refused[client] = true;
+            } else if (has(at_sound[ready - 1].receive(), "X-Request-ID: r")) {
+                asked.push_back(ready - 1);
+            } else {
+                FAIL() << "a connection that the sidecar has no use for was closed";
+            }
+        }
+        for (const std::size_t one : asked) at_sound[one].send(answer(200, "x"));
+        for (std::size_t i = 0; i < clients.size(); ++i) {
+            if (refused[i]) continue;
+            EXPECT_EQ(body_of(clients[i].receive()), "x");
+        }
+    }
+    ASSERT_LT(rounds, 300);
+    EXPECT_TRUE(watch.ends());
+    Peer again = discovery.accept();
+    EXPECT_TRUE(has(again.receive(), "since=41&")) << "what it missed is told at once";
+}
+
 TEST(Discovery, MovesOnSighupAtOnceKeepsItsListAndAsksForTheWholeOne) {
     Listener discovery, moved, first, second;
     const std::string known = target("s-1", first.address());
--- /dev/null
+++ b/tests/membership/staleness_test.cpp
@@ -0,0 +1,115 @@
+// When a silent watch is not believed any more.
+#include "membership/staleness.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+
+namespace martenford {
+namespace {
+
+using loftfront::Status;
+
+constexpr EndpointId kGone{1}, kSound{2};
+
+/// Plays one letter each 100 ms: c, t: the first endpoint refuses the connection, turns the request away; e,
+/// o: it fails, serves; O, T: the other serves, turns away; C: the other refuses; '.': nothing; n, w:
+/// discovery says something new, nothing new. Gives back how often it was to be asked.
+int asked(const std::string& story, std::uint32_t replicas = 2) {
+    Staleness staleness(replicas);
+    Time now{1h};
+    int result = 0;
+    for (const char what : story) {
+        now += 100ms;
+        const auto ended = [&](EndpointId id, Status status) { result += staleness.ended(id, status, now); };
+        switch (what) {
+            case 'c':
+                ended(kGone, Status::ConnectFailed);
+                break;
+            case 't':
+                ended(kGone, Status::Full);
+                break;
+            case 'e':
+                ended(kGone, Status::Error);
+                break;
+            case 'o':
+                ended(kGone, Status::Ok);
+                break;
+            case 'm':
+                ended(kGone, Status::Moot);
+                break;
+            case 'O':
+                ended(kSound, Status::Ok);
+                break;
+            case 'T':
+                ended(kSound, Status::Full);
+                break;
+            case 'C':
+                ended(kSound, Status::ConnectFailed);
+                break;
+            case 'n':
+                staleness.told(true, now);
+                break;
+            case 'w':
+                staleness.told(false, now);
+                break;
+            default:
+                break;
+        }
+    }
+    return result;
+}
+
+TEST(Staleness, IsSeenInEndpointsThatTakeNothingWhileOthersServe) {
+    const struct {
+        const char* story;
+        int asked;
+        const char* why;
+    } table[] = {
+        {"cOcOc", 1, "it refuses connections, another serves"},
+        {"tOtOtOt", 1, "it turns all away, another serves"},
+        {"tOcOt", 0, "neither often enough"},
+        {"cOc", 1, "200 ms after the first"},
+        {"cc", 0, "too soon: a restart is over before a list could tell"},
+        {"c.c.c.c", 0, "nobody serves: that is the network, or all"},
+        {"cOoOcO", 0, "it served between"},
+        {"cOeOcO", 0, "an error shows that it takes requests"},
+        {"tOTtOTtOTtOTtOT", 0, "others turn as much away: load"},
+        {"mOmOmOmOmO", 0, "what was never sent shows nothing"},
+        {"wcOcOcOcOc", 0, "discovery has answered within 2 s"},
+        {"ncOtOnOcO", 0, "news ends a run"},
+        {"cOcOcOcOcOcOcOcOcOcO", 1, "not again within 2 s"},
+    };
+    for (const auto& row : table) EXPECT_EQ(asked(row.story), row.asked) << row.story << ": " << row.why;
+}
+
+TEST(Staleness, AsksLessAndLessOftenUntilThereIsNews) {
+    std::string minute;
+    for (int i = 0; i < 300; ++i) minute += "cO";
+    EXPECT_EQ(asked(minute), 6) << "after 0, 2, 6, 14, 30, 46 s";
+    EXPECT_EQ(asked(minute, 1000), 1) << "a thousand replicas leave discovery 100 s";
+    EXPECT_EQ(asked(minute + "n" + minute), 12);
+}
+
+TEST(Staleness, StaysBoundedAndAsksAtItsPaceWhateverHappens) {
+    std::mt19937 random(7);
+    Staleness staleness(2);
+    Time now{1h}, last{};
+    for (int i = 0; i < 200'000; ++i) {
+        now += 1ms * (random() % 20);
+        if (random() % 500 == 0) {
+            staleness.told(random() % 2 == 0, now);
+            last = {};
+        }
+        const auto status = static_cast<Status>(random() % 8);
+        if (staleness.ended(EndpointId{static_cast<std::uint32_t>(random() % 5000)}, status, now)) {
+            EXPECT_GE(now - last, 2s);
+            last = now;
+        }
+        ASSERT_LE(staleness.suspects(), 256u);
+    }
+}
+
+}  // namespace
+}  // namespace martenford
--- a/tests/policy/logic_test.cpp
+++ b/tests/policy/logic_test.cpp
@@ -985,6 +985,44 @@
     EXPECT_EQ(ended[0].id, "left");
 }
 
+TEST(Overdue, OneLostCallDoesNotKeepItsServerOutAndASecondDoes) {
+    // Guards against: a debit that is lost with its connection keeps an endpoint out until its deadline, and
+    // for the fading of a view after it, since nothing is sent there that could show it alive.
+    for (const bool stands_still : {false, true}) {
+        Settings settings = plain(Effect::Free);
+        settings.classes.push_back(make_class(Effect::SingleShot));
+        settings.limits.max_attempts = 1;
+        Rig rig(settings);
+        rig.list(servers(2));
+        for (int i = 0; i < 40; ++i) {
+            const auto send = only<Send>(keyed(rig, numbered("w", i), std::nullopt, i % 2));
+            rig.advance(20ms);
+            rig.outcome(*send, Status::Ok, 0, true, 20ms);
+        }
+        const auto lost = only<Send>(keyed(rig, "lost", std::nullopt, 1));
+        ASSERT_TRUE(lost);
+        rig.advance(500ms);  // overdue by far
+        int there = 0;
+        std::deque<Send> held;  // six at a time
+        for (int i = 0; i < 60; ++i) {
+            const auto send = only<Send>(rig.request(numbered("r", i)));
+            rig.advance(5ms);
+            const bool same = send && send->endpoint == lost->endpoint;
+            there += same ? 1 : 0;
+            if (send && (!same || !stands_still)) held.push_back(*send);
+            if (held.size() <= 6 && (send || held.empty()))
+                continue;  // shed: nothing new holds the others up
+            rig.outcome(held.front(), Status::Ok, 0, true, 30ms);
+            held.pop_front();
+        }
+        if (stands_still) {
+            EXPECT_LE(there, 2) << "a second call found out";
+        } else {
+            EXPECT_GE(there, 8) << "it takes its part beside the lost call";
+        }
+    }
+}
+
 TEST(Overdue, CallsThatWaitAloneAreNoQueueAndOthersAre) {
     for (const bool alone : {true, false}) {
         Rig rig(plain(Effect::SingleShot));
