--- a/benchmarks/membership_benchmark.cpp
+++ b/benchmarks/membership_benchmark.cpp
@@ -62,8 +62,9 @@
         config.discovery = listener.local_endpoint();
         config.names = {{"a"}, {"m2"}};
         back = std::make_unique<Http1Back>(loop, config.settings.limits, 500, 0, counters);
+        tally = std::make_unique<Tally>(counters, config.settings.classes);
         engine = std::make_unique<Engine>(loop, *back, config.settings.limits,
-                                          make_policy(config.settings, 7, features, counters));
+                                          make_policy(config.settings, 7, features, counters), *tally);
         discovery = std::make_unique<Discovery>(loop, *back, *engine, config,
                                                 membership_options(features, config.settings), counters);
         engine->start();
@@ -92,6 +93,7 @@
     Loop loop;
     Config config;
     std::unique_ptr<Http1Back> back;
+    std::unique_ptr<Tally> tally;
     std::unique_ptr<Engine> engine;
     std::unique_ptr<Discovery> discovery;
     boost::asio::ip::tcp::acceptor listener;
--- a/tests/handover/handover_test.cpp
+++ b/tests/handover/handover_test.cpp
@@ -2,8 +2,10 @@
 #include <gtest/gtest.h>
 #include <sys/stat.h>
 
+#include <chrono>
 #include <cstdlib>
 #include <filesystem>
+#include <future>
 #include <string>
 #include <vector>
 
@@ -142,6 +144,42 @@
     for (int i = 0; i < 5; ++i) expect_served(port, endpoint, "r" + std::to_string(i));
 }
 
+TEST_F(Upgrade, TwoThatDoNotFindEachOtherListenSideBySideAndLoseOneConnectionAtMost) {
+    Sidecar earlier(platform(), "", environment());
+    const int port = earlier.port();
+    std::string beside = platform();
+    const std::string any = "\"listen\":\"127.0.0.1:0\"";
+    beside.replace(beside.find(any), any.size(), "\"listen\":\"127.0.0.1:" + std::to_string(port) + "\"");
+    Sidecar later(beside, "", {"TMPDIR=" + directory + "/none"});
+    EXPECT_EQ(later.port(), port);
+    EXPECT_EQ(later.call("readyz"), "YES\n");
+    int served = 0, lost = 0;
+    const auto ask = [&] {
+        Peer client = Peer::to(port);
+        client.send(look("r" + std::to_string(served + lost)));
+        if (first_of({endpoint.poll_for(), client.poll_for()}) == 1) {
+            EXPECT_TRUE(client.ends());  // closed unread, nothing sent on
+            ++lost;
+            return;
+        }
+        Peer at_endpoint = endpoint.accept();
+        at_endpoint.receive();
+        at_endpoint.send(answer(200, "x", "Connection: close\r\n"));
+        EXPECT_EQ(body_of(client.receive()), "x");
+        ++served;
+    };
+    // New clients throughout: while both listen, while the earlier one ends, and after it.
+    while (served < 50) ask();
+    EXPECT_GT(earlier.figure("success.look"), 0.0);
+    EXPECT_GT(later.figure("success.look"), 0.0);
+    earlier.terminate();
+    auto ended = std::async(std::launch::async, [&] { return earlier.exit_code(); });
+    while (ended.wait_for(std::chrono::seconds(0)) != std::future_status::ready) ask();
+    EXPECT_EQ(ended.get(), 0);
+    for (int i = 0; i < 20; ++i) ask();
+    EXPECT_LE(lost, 1);
+}
+
 TEST_F(Upgrade, DirectoryThatIsNotThereCostsTheHandoverAlone) {
     Sidecar sidecar(platform(), "", {"TMPDIR=" + directory + "/none"});
     EXPECT_EQ(sidecar.call("readyz"), "YES\n");
