Pieces of long bodies are moved, not copied, and 32 KiB are read at once

Cause: a buffer's bound of 12 KiB cut each read short of the 16 KiB meant, and each piece was copied once more into a pipe that was mostly empty.

Change: a pipe takes a piece over where it holds nothing; a passing body is read 32 KiB at a time.

--- a/src/core/pipe.h
+++ b/src/core/pipe.h
@@ -5,7 +5,6 @@
 #include <cstddef>
 #include <functional>
 #include <string>
-#include <string_view>
 #include <utility>
 
 namespace martenford {
@@ -26,9 +25,14 @@
     bool has_room() const { return held_.size() < most_; }
     /// Nobody reads what is put here any more.
     bool unread() const { return unread_; }
-    void put(std::string_view piece) {
+    void put(std::string&& piece) {
         if (state_ != State::Open || unread_ || piece.empty()) return;
-        held_.append(piece);
+        // The reader has mostly taken what was there: then nothing is copied.
+        if (held_.empty()) {
+            held_ = std::move(piece);
+        } else {
+            held_.append(piece);
+        }
         tell(told_reader_);
     }
     /// The body is complete.
--- a/src/http1/back.cpp
+++ b/src/http1/back.cpp
@@ -249,8 +249,7 @@
     }
     void pass() {
         const auto self = shared_from_this();
-        const auto piece = std::exchange(parser_->get().body(), {});
-        rest_->put(piece);
+        rest_->put(std::exchange(parser_->get().body(), {}));
         if (stage_ == Stage::Passing && parser_->is_done()) passed(clean_end());
     }
     void passed(bool keep) {
--- a/src/http1/http.h
+++ b/src/http1/http.h
@@ -34,8 +34,8 @@
 constexpr std::size_t kMostHeld = 32 * 1024;           // of a body that passes through
 constexpr std::size_t kMostHeader = 8 * 1024;
 constexpr std::size_t kReadSize = 4 * 1024;
-constexpr std::size_t kMostBuffer = kMostHeader + kReadSize;  // no more is read while this much waits
-constexpr std::size_t kPassSize = 16 * 1024;                  // read at once of a body that passes through
+constexpr std::size_t kPassSize = 32 * 1024;                // read at once of a body that passes through
+constexpr std::size_t kMostBuffer = kPassSize + kReadSize;  // heads never fill it: kMostHeader bounds them
 
 /// Bounds what the kernel holds of what was written. Guards against megabytes on the way to a slow reader, of
 /// which a third must drain before the next piece may go: with the kernel's own choice that takes longer than
--- a/tests/core/pipe_test.cpp
+++ b/tests/core/pipe_test.cpp
@@ -89,7 +89,7 @@
                 default:
                     if (!pipe.has_room()) break;
                     const std::string piece(random() % 20, static_cast<char>('a' + step % 26));
-                    pipe.put(piece);
+                    pipe.put(std::string(piece));
                     if (!stopped && !ended) put += piece;
             }
             ASSERT_EQ(pipe.state() != Pipe::State::Open, ended);
