--- a/tests/policy/logic_test.cpp
+++ b/tests/policy/logic_test.cpp
@@ -726,6 +726,30 @@
     }
 }
 
+TEST(Cold, ManyAtOnceTakeWhatTheyCanAtOnce) {
+    // Guards against: of the few servers that each instance of a large fleet uses half are new, all instances
+    // keep them nearly idle, and the rest crowd. What is served here earns half of a warm server's
+    // calls, and no less, as long as the told multiple leaves room for it.
+    Settings settings = plain();
+    settings.rules.cold_from = 0.34;
+    settings.rules.fall_multiple = 3.0;
+    Rig rig(settings);
+    auto all = servers(4);
+    all[2].started = all[3].started = rig.now;
+    rig.list(all);
+    std::map<EndpointId, int> met;
+    for (int i = 0; i < 400; ++i) {  // 4 s: less than half of the time that it takes to get warm
+        const auto send = only<Send>(rig.request(numbered("a", i)));
+        ASSERT_TRUE(send);
+        ++met[send->endpoint];
+        rig.outcome(*send, Status::Ok, 0, true, 50ms);
+        rig.now += 10ms;
+    }
+    const int warm = met[EndpointId{1}] + met[EndpointId{2}], cold = met[EndpointId{3}] + met[EndpointId{4}];
+    EXPECT_GE(cold * 2, warm);
+    EXPECT_LE(cold, warm);
+}
+
 TEST(Cold, IsNotPushedOverWhileTheRestAreFull) {
     // Guards against: the idle-looking cold server takes every retry that the full ones turn away.
     Settings settings = plain();
