A call that was turned away tells nothing lasting, and a doubted watch is heard on

Two causes, both harmless in one sidecar and harmful in a hundred.

Ledger endpoints have one place and one place to wait, so that calls of many sidecars meet there by chance. Each marked its endpoint as failing for 10 s (Balancer::Impl::look) and, at the first tier, counted as a whole wait of the class (learn), which sheds. Neither is kept: such a call has not run and tells of one moment.

The old watch is now heard until the fresh call is answered, and whichever speaks first goes on.

Both tests fail without the change.

--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -91,6 +91,7 @@
 
 void Discovery::move(const Address& address) {
     if (address == address_) return;
+    drop(silent_);
     log("discovery: moves to " + address.address().to_string() + ":" + std::to_string(address.port()));
     address_ = address;
     // Guards against a revision that means something else to the new agent: it is asked for the whole list,
@@ -100,7 +101,7 @@
 }
 
 void Discovery::ask_anew() {
-    drop_exchange();
+    drop(exchange_);
     again_.cancel();
     wait_ = Duration{};
     ask();
@@ -118,33 +119,43 @@
     exchange->call.set(http::field::host, "discovery");
     exchange->answer.emplace();
     exchange->answer->body_limit(kMostList);
-    exchange->limit.set(Loop::monotonic() + kConnect, [this] { failed("no connection in time"); });
-    const auto current = [this, exchange](const error_code& error, const char* what) {
-        if (exchange_ != exchange) return false;
-        if (error) failed(std::string(what) + ": " + error.message());
+    // By address: the exchange's own timer must not keep it.
+    const auto fail = [this, own = exchange.get()](const std::string& why) {
+        if (own == silent_.get()) {
+            drop(silent_);
+        } else {
+            failed(why);
+        }
+    };
+    exchange->limit.set(Loop::monotonic() + kConnect, [fail] { fail("no connection in time"); });
+    const auto current = [this, exchange, fail](const error_code& error, const char* what) {
+        if (exchange_ != exchange && silent_ != exchange) return false;
+        if (error) fail(std::string(what) + ": " + error.message());
         return !error;
     };
-    const auto read = [this, exchange, current](const error_code& error, std::size_t) {
+    const auto read = [this, exchange, current, fail](const error_code& error, std::size_t) {
         if (!current(error, "read")) return;
         const auto answer = exchange->answer->release();
-        if (answer.result_int() != 200) return failed("status " + std::to_string(answer.result_int()));
+        if (answer.result_int() != 200) return fail("status " + std::to_string(answer.result_int()));
+        if (exchange == silent_) std::swap(exchange_, silent_);  // it spoke after all, and is the watch again
+        drop(silent_);
         if (!answer.keep_alive()) exchange_.reset();
         exchange->buffer.shrink_to_fit();
         arrived(answer.body());
     };
-    const auto written = [this, exchange, current, read](const error_code& error, std::size_t) {
+    const auto written = [exchange, current, fail, read](const error_code& error, std::size_t) {
         if (!current(error, "write")) return;
         // Guards against a list that breaks off in silence: what it has to tell would be missed until the
         // watch's end, while a fresh call brings it at once.
-        exchange->socket.async_wait(asio::ip::tcp::socket::wait_read, [this, exchange, current,
+        exchange->socket.async_wait(asio::ip::tcp::socket::wait_read, [exchange, current, fail,
                                                                        read](const error_code& e) {
             if (!current(e, "wait")) return;
-            exchange->limit.set(Loop::monotonic() + kWhole, [this] { failed("an answer stopped half way"); });
+            exchange->limit.set(Loop::monotonic() + kWhole, [fail] { fail("an answer stopped half way"); });
             http::async_read(exchange->socket, exchange->buffer, *exchange->answer, read);
         });
     };
-    const auto write = [this, exchange, written] {
-        exchange->limit.set(Loop::monotonic() + kWatch + kPatience, [this] { failed("no answer in time"); });
+    const auto write = [exchange, fail, written] {
+        exchange->limit.set(Loop::monotonic() + kWatch + kPatience, [fail] { fail("no answer in time"); });
         http::async_write(exchange->socket, exchange->call, written);
     };
     if (!fresh) return write();
@@ -164,21 +175,26 @@
         if (!exchange_) return;
         log("discovery: endpoints are not as listed; asked anew");
         asked_anew_.add();
+        // The old watch is heard on until the fresh call is answered. Guards against losing what discovery
+        // has just written to it: that counts as told, and the fresh call may wait its turn for longer than
+        // a drain's grace.
+        drop(silent_);
+        silent_ = std::exchange(exchange_, nullptr);
         ask_anew();
     });
 }
 
-void Discovery::drop_exchange() {
-    if (!exchange_) return;
+void Discovery::drop(std::shared_ptr<Exchange>& exchange) {
+    if (!exchange) return;
     error_code ignored;
-    exchange_->limit.cancel();
-    exchange_->socket.close(ignored);
-    exchange_.reset();
+    exchange->limit.cancel();
+    exchange->socket.close(ignored);
+    exchange.reset();
 }
 
 void Discovery::failed(const std::string& why) {
     log("discovery: " + why);
-    drop_exchange();
+    drop(exchange_);
     if (config_.settings.subscribe) return engine_.tell({Discovered::Kind::Failed, nullptr});
     // The module asks only where lists must be asked for. Jitter: all sidecars may have failed at once.
     wait_ = std::clamp(wait_ * 2, kAgainFirst, kAgainMost);
--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -39,7 +39,7 @@
     struct Exchange;
 
     void ask();
-    void drop_exchange();
+    void drop(std::shared_ptr<Exchange>& exchange);
     void failed(const std::string& why);
     void arrived(const std::string& body);
     void apply(Membership::Update&& update);
@@ -52,6 +52,7 @@
     Address address_;
     Membership membership_;
     std::shared_ptr<Exchange> exchange_;  // the connection, while watching
+    std::shared_ptr<Exchange> silent_;  // and one whose watch seems silent, until the fresh call is answered
     Staleness staleness_;
     Counter& asked_anew_;
     Timer again_, doubt_, suspect_;
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -766,7 +766,10 @@
         const std::size_t index = call.request.class_index;
         const RequestClass& rules = settings.classes[index];
         ClassView& view = views[index];
-        if (outcome.status == Status::Moot) return;  // nothing went out: it tells nothing of the server
+        // Nothing went out, or it was turned away: by a moment's crowd of few places, a full table of
+        // connections or a drain that is not listed yet. Guards against a fleet that takes chance meetings
+        // at servers with one place for bad servers and for a queue, and refuses good work for it.
+        if (outcome.status == Status::Moot || outcome.status == Status::Full) return;
         bool waits = true;
         if (const auto server = servers.find(outcome.endpoint); server != servers.end()) {
             const bool in_time = now - sent <= patience(index);
@@ -778,7 +781,6 @@
                 server->second.quick_sent = std::max(server->second.quick_sent, sent);
             }
         }
-        if (outcome.status == Status::Full) return pressure.see(1.0, now);
         if (outcome.status == Status::Ok) {
             if (view.usual == Duration{}) view.usual = view.floor = outcome.latency;
             view.usual += (outcome.latency - view.usual) / 16;
--- a/tests/discovery/discovery_test.cpp
+++ b/tests/discovery/discovery_test.cpp
@@ -79,7 +79,9 @@
     EXPECT_TRUE(has(second.accept().receive(), "X-Request-ID: r1"));
 }
 
-TEST(Discovery, ASilentWatchIsGivenUpWhereAnEndpointIsGoneAndOthersServe) {
+/// One endpoint is gone, another serves, the watch says nothing. Then either the fresh call is answered or
+/// the old watch after all: whichever speaks first goes on as the watch, and the other is closed.
+void silent_watch(bool old_speaks) {
     Listener discovery, gone, sound;
     Sidecar sidecar(config(discovery.address(),
                            target("s-1", gone.address()) + "," + target("s-2", sound.address()),
@@ -123,9 +125,22 @@
         }
     }
     ASSERT_LT(rounds, 300);
-    EXPECT_TRUE(watch.ends());
     Peer again = discovery.accept();
     EXPECT_TRUE(has(again.receive(), "since=41&")) << "what it missed is told at once";
+    Peer &first = old_speaks ? watch : again, &second = old_speaks ? again : watch;
+    first.send(answer(200, list(43, false, target("s-1", gone.address(), "Terminating"))));
+    EXPECT_TRUE(has(first.receive(), "since=43&"));
+    EXPECT_TRUE(second.ends());
+}
+
+TEST(Discovery, ASilentWatchIsGivenUpWhereAnEndpointIsGoneAndOthersServe) {
+    silent_watch(false);
+}
+
+TEST(Discovery, WhatASilentWatchIsToldBeforeTheFreshCallIsAnsweredIsNotLost) {
+    // Guards against: it was closed as soon as it was doubted, and news that discovery had just written to it
+    // counted as told.
+    silent_watch(true);
 }
 
 TEST(Discovery, MovesOnSighupAtOnceKeepsItsListAndAsksForTheWholeOne) {
--- a/tests/policy/logic_test.cpp
+++ b/tests/policy/logic_test.cpp
@@ -878,6 +878,25 @@
     EXPECT_GT(sent_to_the_failing(Effect::SingleShot, 500ms), 8) << "where all wait its place is worth more";
 }
 
+TEST(View, ACallThatWasTurnedAwayTellsNothingOfItsServer) {
+    // Guards against: servers with one place turn calls of many replicas away by chance; a replica that takes
+    // this for a bad server or a queue sends elsewhere for 10 s and refuses good work.
+    Rig rig(plain());
+    rig.list(servers(2));
+    std::map<EndpointId, int> met;
+    for (int i = 0; i < 400; ++i) {
+        auto done = rig.request(numbered("a", i));
+        EXPECT_TRUE(all_of<Refuse>(done).empty());
+        const auto send = only<Send>(done);
+        ASSERT_TRUE(send);
+        ++met[send->endpoint];
+        const bool turned_away = send->endpoint == EndpointId{1} && i % 4 == 0;
+        rig.outcome(*send, turned_away ? Status::Full : Status::Ok, 0, true);
+        rig.now += 50ms;
+    }
+    EXPECT_GT(met[EndpointId{1}], 160);
+}
+
 TEST(View, ToldSizeWeighsTheCallsInFlight) {
     // Guards against: servers of half the size held as full as the others.
     Rig rig(plain());
