The emulator stands in a folder of its own, as a part of the product

Need: the rig for faults between many processes belongs to the emulator, which stood among the tests' stand-ins. Change: tests/standins/emulator and model move to emulator/, namespace martenford::emulator; no behaviour changes.

--- a/benchmarks/fleet.h
+++ b/benchmarks/fleet.h
@@ -16,7 +16,7 @@
 #include <utility>
 
 #include "core/loop.h"
-#include "standins/emulator/sidecar_process.h"
+#include "emulator/sidecar_process.h"
 
 namespace martenford::benchmarks {
 
@@ -104,7 +104,7 @@
             R"("dial_timeout":120000000,"conn_idle":30000000000},"invariants":{"answer_slack":20000000,)"
             R"("ask_every":1000000000000,"cold_from":0.3,"fall_multiple":3.0,"ramp_time":5000000000,)"
             R"("stop_sending_within":1000000000,"tip_after":1000000000}}})";
-        process_ = martenford::standins::SidecarProcess::start(
+        process_ = martenford::emulator::SidecarProcess::start(
             loop_, MARTENFORD, "/tmp", "martenford-relay-" + std::to_string(getpid()), config, own, {});
         while (process_->address().port() == 0) {
             loop_.io().run_one_for(std::chrono::milliseconds(100));
@@ -115,7 +115,7 @@
 
   private:
     martenford::Loop loop_;
-    std::shared_ptr<martenford::standins::SidecarProcess> process_;
+    std::shared_ptr<martenford::emulator::SidecarProcess> process_;
 };
 
 }  // namespace martenford::benchmarks
--- a/benchmarks/virtual_time_benchmark.cpp
+++ b/benchmarks/virtual_time_benchmark.cpp
@@ -8,11 +8,11 @@
 #include <fstream>
 #include <string>
 
-#include "standins/emulator/virtual_transport.h"
+#include "emulator/virtual_transport.h"
 
 namespace {
 
-using namespace martenford::standins;
+using namespace martenford::emulator;
 
 Scenario fleet(int nodes, int sidecars, int rate, int length) {
     const std::string classes = R"(
--- a/tests/standins/emulator/draws.h
+++ b/emulator/draws.h
@@ -9,7 +9,7 @@
 
 #include "policy/mechanics.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 /// FNV-1a over a text, mixed with a seed.
 inline std::uint64_t mix(std::uint64_t seed, std::string_view text) {
@@ -40,4 +40,4 @@
     loftfront::Random random_;
 };
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/model/endpoint_model.cpp
+++ b/emulator/model/endpoint_model.cpp
@@ -1,11 +1,11 @@
-#include "standins/model/endpoint_model.h"
+#include "emulator/model/endpoint_model.h"
 
 #include <algorithm>
 #include <cmath>
 
 #include "config/units.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 namespace {
 
@@ -191,4 +191,4 @@
     watch_backlog();
 }
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/model/endpoint_model.h
+++ b/emulator/model/endpoint_model.h
@@ -15,7 +15,7 @@
 
 #include "core/scheduler.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 /// What a caller that leaves ends at the endpoint.
 enum class CancelReach { Nothing, Waiting, All };
@@ -120,4 +120,4 @@
     std::optional<Time> over_since_, rested_since_;
 };
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/model/registry.cpp
+++ b/emulator/model/registry.cpp
@@ -1,9 +1,9 @@
-#include "standins/model/registry.h"
+#include "emulator/model/registry.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 namespace {
 /// Changes older than this many revisions are forgotten: who knows less gets the whole list.
@@ -97,4 +97,4 @@
     watches_.erase(it);
 }
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/model/registry.h
+++ b/emulator/model/registry.h
@@ -13,7 +13,7 @@
 #include "core/scheduler.h"
 #include "loftfront/balancer.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 struct Listing {
     std::string uid, address, zone = "a", kind = "std";
@@ -76,4 +76,4 @@
     std::map<WatchId, Watch> watches_;
 };
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/model/rule_checker.cpp
+++ b/emulator/model/rule_checker.cpp
@@ -1,4 +1,4 @@
-#include "standins/model/rule_checker.h"
+#include "emulator/model/rule_checker.h"
 
 #include <fmt/format.h>
 
@@ -7,7 +7,7 @@
 
 #include "config/units.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 using loftfront::Availability;
 using loftfront::Effect;
@@ -214,4 +214,4 @@
     for (const std::string& id : lost) breach(Rule::NoneLost, now, fmt::format("{} was never answered", id));
 }
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/model/rule_checker.h
+++ b/emulator/model/rule_checker.h
@@ -13,7 +13,7 @@
 
 #include "core/scheduler.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 enum class Rule { NoneLost, NoDoubleEffect, DrainsKept, ColdSpared };
 constexpr std::array<const char*, 4> kRuleNames = {"no request is lost", "no effect happens twice",
@@ -116,4 +116,4 @@
     std::map<std::uint32_t, ColdNode> cold_;
 };
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/percentile.h
+++ b/emulator/percentile.h
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <vector>
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 /// The value below which this share (0 to 1) of the values lies; 0 where there are none.
 inline double percentile(std::vector<double> values, double share) {
@@ -14,4 +14,4 @@
     return values[static_cast<std::size_t>(at)];
 }
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/plot.cpp
+++ b/emulator/plot.cpp
@@ -5,10 +5,10 @@
 #include <map>
 #include <string>
 
-#include "standins/emulator/percentile.h"
-#include "standins/emulator/report.h"
+#include "emulator/percentile.h"
+#include "emulator/report.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 namespace {
 
@@ -142,4 +142,4 @@
     return canvas.finish(y + 16);
 }
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/report.cpp
+++ b/emulator/report.cpp
@@ -1,4 +1,4 @@
-#include "standins/emulator/report.h"
+#include "emulator/report.h"
 
 #include <fmt/format.h>
 
@@ -6,7 +6,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 namespace {
 
@@ -244,4 +244,4 @@
     return out;
 }
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/report.h
+++ b/emulator/report.h
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
-#include "standins/emulator/scenario.h"
-#include "standins/model/rule_checker.h"
+#include "emulator/model/rule_checker.h"
+#include "emulator/scenario.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 struct ClassFigures {
     std::string name;
@@ -84,4 +84,4 @@
 /// Served share and latency over time, and the states of the endpoints, as a picture.
 std::string to_svg(const Report& report);
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/scenario.cpp
+++ b/emulator/scenario.cpp
@@ -1,4 +1,4 @@
-#include "standins/emulator/scenario.h"
+#include "emulator/scenario.h"
 
 #include <fmt/format.h>
 #include <toml++/toml.h>
@@ -11,7 +11,7 @@
 
 #include "config/toml_reader.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 namespace {
 
@@ -572,4 +572,4 @@
     return read_scenario(read_toml_file(path), path);
 }
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/scenario.h
+++ b/emulator/scenario.h
@@ -10,10 +10,10 @@
 #include <vector>
 
 #include "assembly/features.h"
+#include "emulator/model/endpoint_model.h"
 #include "loftfront/balancer.h"
-#include "standins/model/endpoint_model.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 /// Text: "FILE:LINE:COLUMN: what is wrong".
 using ScenarioError = TomlError;
@@ -199,4 +199,4 @@
 /// Throws ScenarioError also where the file can't be read or is over 1 MiB.
 Scenario load_scenario(const std::string& path);
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/sidecar_process.cpp
+++ b/emulator/sidecar_process.cpp
@@ -1,4 +1,4 @@
-#include "standins/emulator/sidecar_process.h"
+#include "emulator/sidecar_process.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -17,7 +17,7 @@
 
 extern char** environ;
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 namespace {
 
@@ -142,4 +142,4 @@
     });
 }
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/sidecar_process.h
+++ b/emulator/sidecar_process.h
@@ -12,7 +12,7 @@
 #include "core/address.h"
 #include "core/loop.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 class SidecarProcess : public std::enable_shared_from_this<SidecarProcess> {
   public:
@@ -53,4 +53,4 @@
     std::array<char, 4096> chunk_{};
 };
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/socket_peers.cpp
+++ b/emulator/socket_peers.cpp
@@ -1,4 +1,4 @@
-#include "standins/emulator/socket_peers.h"
+#include "emulator/socket_peers.h"
 
 #include <sys/socket.h>
 
@@ -11,7 +11,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 namespace {
 
@@ -536,4 +536,4 @@
     connection->drop();
 }
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/socket_peers.h
+++ b/emulator/socket_peers.h
@@ -15,10 +15,10 @@
 #include <vector>
 
 #include "core/loop.h"
-#include "standins/emulator/transport.h"
-#include "standins/emulator/world.h"
+#include "emulator/transport.h"
+#include "emulator/world.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 namespace http = boost::beast::http;
 using tcp = boost::asio::ip::tcp;
@@ -94,4 +94,4 @@
 /// The list as discovery writes it.
 std::string to_json(const ListAnswer& list);
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/socket_transport.cpp
+++ b/emulator/socket_transport.cpp
@@ -1,4 +1,4 @@
-#include "standins/emulator/socket_transport.h"
+#include "emulator/socket_transport.h"
 
 #include <fmt/format.h>
 #include <stdlib.h>
@@ -12,11 +12,11 @@
 #include <stdexcept>
 #include <utility>
 
-#include "standins/emulator/sidecar_process.h"
-#include "standins/emulator/socket_peers.h"
-#include "standins/emulator/world.h"
+#include "emulator/sidecar_process.h"
+#include "emulator/socket_peers.h"
+#include "emulator/world.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 namespace {
 
@@ -256,4 +256,4 @@
     return world.report();
 }
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/socket_transport.h
+++ b/emulator/socket_transport.h
@@ -7,10 +7,10 @@
 #include <string>
 
 #include "core/loop.h"
-#include "standins/emulator/report.h"
-#include "standins/emulator/scenario.h"
+#include "emulator/report.h"
+#include "emulator/scenario.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 struct SocketPlayOptions {
     std::string program;  ///< the sidecar's
@@ -25,4 +25,4 @@
 /// ready; one that ends by itself is a breach of the first rule.
 Report play_sockets(const Scenario& scenario, std::uint64_t seed, const SocketPlayOptions& options);
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/transport.h
+++ b/emulator/transport.h
@@ -7,7 +7,7 @@
 
 #include "core/scheduler.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 /// A request to a sidecar: from a client, or from an endpoint to its own.
 struct CallSpec {
@@ -64,4 +64,4 @@
     virtual void hang_up(CallId call) = 0;
 };
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/virtual_time.cpp
+++ b/emulator/virtual_time.cpp
@@ -1,10 +1,10 @@
-#include "standins/emulator/virtual_time.h"
+#include "emulator/virtual_time.h"
 
 #include <algorithm>
 #include <stdexcept>
 #include <utility>
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 namespace {
 constexpr std::uint64_t kMostPending = 1 << 24;  // timers at once; leaves 40 bits for the order of adding
@@ -101,4 +101,4 @@
     return true;
 }
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/virtual_time.h
+++ b/emulator/virtual_time.h
@@ -7,7 +7,7 @@
 
 #include "core/scheduler.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 class VirtualTime : public Scheduler {
   public:
@@ -60,4 +60,4 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/virtual_transport.cpp
+++ b/emulator/virtual_transport.cpp
@@ -1,4 +1,4 @@
-#include "standins/emulator/virtual_transport.h"
+#include "emulator/virtual_transport.h"
 
 #include <simdjson.h>
 
@@ -9,7 +9,7 @@
 #include "config/read_settings.h"
 #include "core/transport.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 using loftfront::Availability;
 using loftfront::Discovered;
@@ -604,4 +604,4 @@
     return {world.report(), time.fired(), transport.connections_opened()};
 }
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/virtual_transport.h
+++ b/emulator/virtual_transport.h
@@ -11,11 +11,11 @@
 #include <vector>
 
 #include "core/engine.h"
-#include "standins/emulator/transport.h"
-#include "standins/emulator/virtual_time.h"
-#include "standins/emulator/world.h"
+#include "emulator/transport.h"
+#include "emulator/virtual_time.h"
+#include "emulator/world.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 class VirtualTransport : public Transport {
   public:
@@ -80,4 +80,4 @@
                          std::function<void(const std::string&)> trace = {},
                          VirtualTransport::Options options = {}, std::function<void(Duration)> progress = {});
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/world.cpp
+++ b/emulator/world.cpp
@@ -1,4 +1,4 @@
-#include "standins/emulator/world.h"
+#include "emulator/world.h"
 
 #include <fmt/format.h>
 
@@ -8,9 +8,9 @@
 #include <set>
 #include <utility>
 
-#include "standins/emulator/percentile.h"
+#include "emulator/percentile.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 using loftfront::Availability;
 using loftfront::Effect;
@@ -1280,4 +1280,4 @@
     return result;
 }
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/standins/emulator/world.h
+++ b/emulator/world.h
@@ -11,13 +11,13 @@
 #include <unordered_set>
 #include <vector>
 
-#include "standins/emulator/draws.h"
-#include "standins/emulator/report.h"
-#include "standins/emulator/scenario.h"
-#include "standins/emulator/transport.h"
-#include "standins/model/registry.h"
+#include "emulator/draws.h"
+#include "emulator/model/registry.h"
+#include "emulator/report.h"
+#include "emulator/scenario.h"
+#include "emulator/transport.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 
 class World {
   public:
@@ -172,4 +172,4 @@
     std::vector<std::vector<double>> latencies_;  // by class, ms
 };
 
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/emulator/emulation_test.cpp
+++ b/tests/emulator/emulation_test.cpp
@@ -9,10 +9,10 @@
 #include <string>
 #include <vector>
 
-#include "standins/emulator/report.h"
-#include "standins/emulator/virtual_transport.h"
+#include "emulator/report.h"
+#include "emulator/virtual_transport.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 namespace {
 
 using namespace loftfront;
@@ -231,4 +231,4 @@
 }
 
 }  // namespace
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/emulator/endpoint_model_test.cpp
+++ b/tests/emulator/endpoint_model_test.cpp
@@ -1,5 +1,5 @@
 // The endpoint model against queueing theory, against a plain model, and in each of its troubles.
-#include "standins/model/endpoint_model.h"
+#include "emulator/model/endpoint_model.h"
 
 #include <gtest/gtest.h>
 
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "config/units.h"
-#include "standins/emulator/draws.h"
+#include "emulator/draws.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 namespace {
 
 using Ended = EndpointModel::Ended;
@@ -366,4 +366,4 @@
 }
 
 }  // namespace
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/emulator/registry_test.cpp
+++ b/tests/emulator/registry_test.cpp
@@ -1,5 +1,5 @@
 // Discovery's lists, watches and silences.
-#include "standins/model/registry.h"
+#include "emulator/model/registry.h"
 
 #include <gtest/gtest.h>
 
@@ -9,10 +9,10 @@
 #include <string>
 #include <vector>
 
-#include "standins/emulator/draws.h"
-#include "standins/emulator/virtual_time.h"
+#include "emulator/draws.h"
+#include "emulator/virtual_time.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 namespace {
 
 using loftfront::Availability;
@@ -159,4 +159,4 @@
 }
 
 }  // namespace
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/emulator/rule_checker_test.cpp
+++ b/tests/emulator/rule_checker_test.cpp
@@ -1,5 +1,5 @@
 // The rule checker: what it must call a breach, and what it must not.
-#include "standins/model/rule_checker.h"
+#include "emulator/model/rule_checker.h"
 
 #include <gtest/gtest.h>
 
@@ -8,7 +8,7 @@
 
 #include "config/units.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 namespace {
 
 using loftfront::Availability;
@@ -216,4 +216,4 @@
 }
 
 }  // namespace
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/emulator/scenario_test.cpp
+++ b/tests/emulator/scenario_test.cpp
@@ -1,5 +1,5 @@
 // The scenario reader: what it understands, and one clear line with its place for whatever it does not.
-#include "standins/emulator/scenario.h"
+#include "emulator/scenario.h"
 
 #include <gtest/gtest.h>
 
@@ -10,9 +10,9 @@
 #include <sstream>
 #include <string>
 
-#include "standins/emulator/draws.h"
+#include "emulator/draws.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 namespace {
 
 const std::string kHead = R"(name = "t"
@@ -304,4 +304,4 @@
 }
 
 }  // namespace
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/emulator/socket_emulation_test.cpp
+++ b/tests/emulator/socket_emulation_test.cpp
@@ -7,10 +7,10 @@
 #include <utility>
 #include <vector>
 
-#include "standins/emulator/socket_transport.h"
-#include "standins/emulator/virtual_transport.h"
+#include "emulator/socket_transport.h"
+#include "emulator/virtual_transport.h"
 
-namespace martenford::standins {
+namespace martenford::emulator {
 namespace {
 
 Scenario scenario(const std::string& name) {
@@ -87,4 +87,4 @@
 }
 
 }  // namespace
-}  // namespace martenford::standins
+}  // namespace martenford::emulator
--- a/tests/emulator/virtual_time_test.cpp
+++ b/tests/emulator/virtual_time_test.cpp
@@ -1,5 +1,5 @@
 // The simulated clock against a sorted map that does the same slowly.
-#include "standins/emulator/virtual_time.h"
+#include "emulator/virtual_time.h"
 
 #include <gtest/gtest.h>
 
@@ -9,7 +9,7 @@
 
 namespace {
 
-using namespace martenford::standins;
+using namespace martenford::emulator;
 using martenford::Scheduler;
 using martenford::Time;
 using namespace std::chrono_literals;
--- a/tools/emulator/main.cpp
+++ b/tools/emulator/main.cpp
@@ -14,14 +14,14 @@
 #include <string>
 #include <vector>
 
-#include "standins/emulator/report.h"
-#include "standins/emulator/scenario.h"
-#include "standins/emulator/socket_transport.h"
-#include "standins/emulator/virtual_transport.h"
+#include "emulator/report.h"
+#include "emulator/scenario.h"
+#include "emulator/socket_transport.h"
+#include "emulator/virtual_transport.h"
 
 namespace {
 
-using namespace martenford::standins;
+using namespace martenford::emulator;
 using martenford::seconds;
 
 // What the exit code says.
