--- /dev/null
+++ b/src/framing/frame.cpp
@@ -0,0 +1,48 @@
+#include "framing/frame.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace martenford::framing {
+
+namespace {
+
+std::uint32_t checksum(std::string_view bytes) {
+    return XXH32(bytes.data(), bytes.size(), 0);
+}
+
+void put32(std::string& to, std::uint32_t value) {
+    for (int shift = 0; shift < 32; shift += 8) to.push_back(static_cast<char>(value >> shift & 0xff));
+}
+
+std::uint32_t get32(std::string_view from) {
+    std::uint32_t value = 0;
+    for (int i = 3; i >= 0; --i) value = value << 8 | static_cast<unsigned char>(from[i]);
+    return value;
+}
+
+}  // namespace
+
+std::string frame_of(std::string_view message) {
+    if (message.size() > kMostFrame) throw FrameError("a message is longer than a frame may be");
+    std::string frame;
+    frame.reserve(kFrameHead + message.size());
+    put32(frame, static_cast<std::uint32_t>(message.size()));
+    put32(frame, checksum(message));
+    frame += message;
+    return frame;
+}
+
+std::optional<std::string_view> FrameReader::next() {
+    const std::string_view rest = std::string_view(held_).substr(used_);
+    if (rest.size() < kFrameHead) return std::nullopt;
+    const std::size_t size = get32(rest);
+    if (size > kMostFrame) throw FrameError("a frame is longer than one may be");
+    if (rest.size() < kFrameHead + size) return std::nullopt;
+    const std::string_view message = rest.substr(kFrameHead, size);
+    if (checksum(message) != get32(rest.substr(4))) throw FrameError("a frame's checksum is wrong");
+    used_ += kFrameHead + size;
+    return message;
+}
+
+}  // namespace martenford::framing
--- /dev/null
+++ b/src/framing/frame.h
@@ -0,0 +1,59 @@
+// Frames on a stream: each message with its length and its XXH32, four bytes little-endian each, before it.
+// Used towards the journal's writer and between sidecars. The checksum is against accident, not against
+// intent.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace martenford::framing {
+
+constexpr std::size_t kFrameHead = 8;
+/// Bytes of a message in a frame, unless a reader says otherwise. The longest are a journal's intent (an id of
+/// 128 bytes, a key, names from discovery's list; heads are bounded at 8 KiB) and a piece of a list of members.
+constexpr std::size_t kMostFrame = 64 * 1024;
+
+/// The peer does not speak as agreed: nothing more of it can be read.
+struct FrameError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+/// The whole frame of a message. Throws FrameError where it is longer than kMostFrame.
+std::string frame_of(std::string_view message);
+
+/// Takes bytes as they come and gives messages. Holds one frame at most beyond what was fed last.
+class FrameReader {
+  public:
+    void feed(std::string_view bytes) {
+        held_.erase(0, std::exchange(used_, 0));
+        held_.append(bytes);
+    }
+    /// The next whole message, valid until the next feed(). Throws FrameError where the length is over
+    /// kMostFrame or the checksum does not fit.
+    std::optional<std::string_view> next();
+    bool empty() const { return used_ == held_.size(); }
+
+  private:
+    std::string held_;
+    std::size_t used_ = 0;
+};
+
+/// A protobuf message as a frame, and back.
+template <class Message>
+std::string framed(const Message& message) {
+    return frame_of(message.SerializeAsString());
+}
+template <class Message>
+Message parsed(std::string_view bytes) {
+    Message message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        throw FrameError("a frame's message can't be read");
+    return message;
+}
+
+}  // namespace martenford::framing
--- a/src/ledger/frame.cpp
+++ b/src/ledger/frame.cpp
@@ -1,8 +1,5 @@
 #include "ledger/frame.h"
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 #include <utility>
 
 #include "ledger/link.pb.h"
@@ -11,39 +8,8 @@
 
 namespace {
 
-std::uint32_t checksum(std::string_view bytes) {
-    return XXH32(bytes.data(), bytes.size(), 0);
-}
-
-void put32(std::string& to, std::uint32_t value) {
-    for (int shift = 0; shift < 32; shift += 8) to.push_back(static_cast<char>(value >> shift & 0xff));
-}
-
-std::uint32_t get32(std::string_view from) {
-    std::uint32_t value = 0;
-    for (int i = 3; i >= 0; --i) value = value << 8 | static_cast<unsigned char>(from[i]);
-    return value;
-}
-
-template <class Message>
-std::string framed(const Message& message) {
-    const std::string body = message.SerializeAsString();
-    if (body.size() > kMostFrame) throw FrameError("a message is longer than a frame may be");
-    std::string frame;
-    frame.reserve(kFrameHead + body.size());
-    put32(frame, static_cast<std::uint32_t>(body.size()));
-    put32(frame, checksum(body));
-    frame += body;
-    return frame;
-}
-
-template <class Message>
-Message parsed(std::string_view bytes) {
-    Message message;
-    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
-        throw FrameError("a frame's message can't be read");
-    return message;
-}
+using framing::framed;
+using framing::parsed;
 
 void fill(link::Record& to, const Record& from) {
     to.set_sequence(from.sequence);
@@ -154,16 +120,4 @@
     throw FrameError("a message says nothing");
 }
 
-std::optional<std::string_view> FrameReader::next() {
-    const std::string_view rest = std::string_view(held_).substr(used_);
-    if (rest.size() < kFrameHead) return std::nullopt;
-    const std::size_t size = get32(rest);
-    if (size > kMostFrame) throw FrameError("a frame is longer than one may be");
-    if (rest.size() < kFrameHead + size) return std::nullopt;
-    const std::string_view message = rest.substr(kFrameHead, size);
-    if (checksum(message) != get32(rest.substr(4))) throw FrameError("a frame's checksum is wrong");
-    used_ += kFrameHead + size;
-    return message;
-}
-
 }  // namespace martenford::ledger
--- a/src/ledger/frame.h
+++ b/src/ledger/frame.h
@@ -2,29 +2,21 @@
 // checksum.
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
-#include <optional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <variant>
 
+#include "framing/frame.h"
 #include "ledger/record.h"
 
 namespace martenford::ledger {
 
 constexpr std::uint32_t kLinkVersion = 1;
-constexpr std::size_t kFrameHead = 8;
-/// Of a message in a frame. An intent holds an id of 128 bytes, a key and names of an endpoint: heads are
-/// bounded at 8 KiB, names by discovery's list.
-constexpr std::size_t kMostFrame = 64 * 1024;
-
-/// The peer does not speak as agreed: nothing more of it can be read.
-struct FrameError : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
+using framing::FrameError;
+using framing::FrameReader;
+using framing::kFrameHead;
+using framing::kMostFrame;
 
 struct Hello {
     std::uint32_t version = kLinkVersion;
@@ -51,20 +43,4 @@
 ToWriter read_to_writer(std::string_view message);
 FromWriter read_from_writer(std::string_view message);
 
-/// Takes bytes as they come and gives messages. Holds one frame at most beyond what was fed last.
-class FrameReader {
-  public:
-    void feed(std::string_view bytes) {
-        held_.erase(0, std::exchange(used_, 0));
-        held_.append(bytes);
-    }
-    /// The next whole message, valid until the next feed(). Throws FrameError.
-    std::optional<std::string_view> next();
-    bool empty() const { return used_ == held_.size(); }
-
-  private:
-    std::string held_;
-    std::size_t used_ = 0;
-};
-
 }  // namespace martenford::ledger
