Who of a fleet is alive: SWIM with Lifeguard as a pure module, played in virtual time

Need: sidecars share nothing but discovery and cannot say which of them live. A death heard from others is taken only after the least time that a refutation has: one that hears nobody buried all the others before.

--- /dev/null
+++ b/src/fleet/options.h
@@ -0,0 +1,43 @@
+// The section [fleet] of our own configuration.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "core/scheduler.h"
+
+namespace martenford::fleet {
+
+/// Of the protocol; the same at all members, or their bounds don't add up.
+struct Pace {
+    Duration probe_every = 500ms;     ///< each member probes one other in this time
+    Duration probe_patience = 200ms;  ///< for a direct answer; then helpers are asked until the period ends
+    std::size_t helpers = 3;
+    Duration gossip_every = 200ms;
+    std::size_t gossip_to = 3;
+    /// A member that is silent for less than this is never called dead: stalls of a loop, a collector or a
+    /// neighbour on the same core last so long.
+    Duration stall = 2s;
+    /// The same where nobody listens at its address any more: a process that stalls still listens.
+    Duration gone = 700ms;
+    Duration exchange_every = 15s;  ///< digests are compared with one other
+    Duration reconnect_every = 3s;  ///< one that is dead is called: it may be a healed link
+    /// Lifeguard's first part, and distrust of oneself after a stall; off only to measure what they are
+    /// worth.
+    bool own_health = true;
+    Duration forget_after = 120s;  ///< the dead and those that left
+};
+
+struct Options {
+    std::string name;                    ///< of the fleet; one of another name is not spoken to
+    std::string listen;                  ///< "127.0.0.1:7400"; port 0: any
+    std::string advertise;               ///< where the others reach it; empty: as it listens
+    std::vector<std::string> seeds;      ///< members to begin with; it may be one of them
+    std::vector<std::string> permitted;  ///< addresses, without ports, that may connect; none: loopback's
+    Pace pace;
+    std::size_t most_links = 32;           ///< connections to and from others, beside those of clients
+    std::size_t most_queued = 256 * 1024;  ///< bytes that wait on one link
+};
+
+}  // namespace martenford::fleet
--- /dev/null
+++ b/src/fleet/wire.cpp
@@ -0,0 +1,120 @@
+#include "fleet/wire.h"
+
+#include <algorithm>
+
+#include "fleet/wire.pb.h"
+#include "framing/frame.h"
+
+namespace martenford::fleet {
+
+namespace {
+
+using framing::FrameError;
+
+/// Names go into logs and answers to operators: printable, and of bounded length.
+const std::string& checked(const std::string& text, bool needed = false) {
+    const auto printable = [](char c) { return c > ' ' && c <= '~'; };
+    if (text.size() > kMostName || (needed && text.empty()) ||
+        !std::all_of(text.begin(), text.end(), printable))
+        throw FrameError("a name of a member can't be used");
+    return text;
+}
+
+void fill(wire::Claim& to, const Claim& from) {
+    to.set_name(from.id.name);
+    to.set_boot(from.id.boot);
+    to.set_address(from.address);
+    to.set_zone(from.zone);
+    to.set_incarnation(from.incarnation);
+    to.set_state(static_cast<std::uint32_t>(from.state));
+    to.set_evidence(static_cast<std::uint32_t>(from.evidence));
+    to.set_by(from.by);
+    to.set_heir(from.heir);
+    to.set_version(from.version);
+}
+
+Claim read_claim(const wire::Claim& from) {
+    if (from.state() >= kStates || from.evidence() >= kEvidences || from.boot() == 0)
+        throw FrameError("a claim can't be used");
+    return {{checked(from.name(), true), from.boot()},
+            checked(from.address(), true),
+            checked(from.zone()),
+            checked(from.version()),
+            std::min(from.incarnation(), kMostIncarnation),
+            static_cast<State>(from.state()),
+            static_cast<Evidence>(from.evidence()),
+            checked(from.by()),
+            from.heir()};
+}
+
+}  // namespace
+
+std::string frame_of(const Hello& hello) {
+    wire::Frame out;
+    auto& to = *out.mutable_hello();
+    to.set_fleet(hello.fleet);
+    to.set_name(hello.id.name);
+    to.set_boot(hello.id.boot);
+    to.set_address(hello.address);
+    to.set_oldest(hello.oldest);
+    to.set_newest(hello.newest);
+    to.set_version(hello.version);
+    return framing::framed(out);
+}
+
+std::string frame_of(const Message& message) {
+    wire::Frame out;
+    auto& to = *out.mutable_message();
+    to.set_kind(static_cast<std::uint32_t>(message.kind));
+    to.set_seq(message.seq);
+    to.set_to_name(message.to.name);
+    to.set_to_boot(message.to.boot);
+    to.set_to_address(message.address);
+    to.set_digest(message.digest);
+    to.set_want(message.want);
+    to.set_stalled_ms(message.stalled_ms);
+    for (const Claim& claim : message.claims) fill(*to.add_claims(), claim);
+    return framing::framed(out);
+}
+
+Said read_said(std::string_view bytes) {
+    const auto in = framing::parsed<wire::Frame>(bytes);
+    if (in.has_hello()) {
+        const auto& from = in.hello();
+        if (from.boot() == 0) throw FrameError("a hello can't be used");
+        return Hello{checked(from.fleet(), true),
+                     {checked(from.name(), true), from.boot()},
+                     checked(from.address(), true),
+                     checked(from.version()),
+                     from.oldest(),
+                     from.newest()};
+    }
+    if (!in.has_message()) throw FrameError("a message says nothing");
+    const auto& from = in.message();
+    if (from.kind() >= kKinds) throw FrameError("a message is of no known kind");
+    if (static_cast<std::size_t>(from.claims_size()) > kMostClaims)
+        throw FrameError("a message has too many claims");
+    Message message{static_cast<Message::Kind>(from.kind()),
+                    from.seq(),
+                    {checked(from.to_name()), from.to_boot()},
+                    checked(from.to_address()),
+                    from.digest(),
+                    from.want(),
+                    from.stalled_ms(),
+                    {}};
+    message.claims.reserve(static_cast<std::size_t>(from.claims_size()));
+    for (const auto& claim : from.claims()) message.claims.push_back(read_claim(claim));
+    return message;
+}
+
+const char* name_of(State state) {
+    constexpr const char* kNames[] = {"alive", "suspect", "left", "dead"};
+    return kNames[static_cast<std::size_t>(state)];
+}
+
+const char* name_of(Evidence evidence) {
+    constexpr const char* kNames[] = {"silent", "stalled", "gone"};
+    return kNames[static_cast<std::size_t>(evidence)];
+}
+
+}  // namespace martenford::fleet
