Links between sidecars over TCP, [fleet], and 'martenford fleet members|links|watch'

Need: the protocol of who is alive needs links, a switch and a view. Change: peers/ holds the sockets (bounded queues by urgency, hello with fleet and wire versions, floods and foreign frames close that link alone, descriptors of their own), [fleet] in our own TOML, console and command. Off without the section: no listener, timer or memory. parse_address moves to core, the console's client is shared with 'why'.

--- a/src/assembly/features.cpp
+++ b/src/assembly/features.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/address.h"
 #include "policy/mechanics.h"
 
 namespace martenford {
@@ -82,6 +83,62 @@
     return result;
 }
 
+constexpr std::size_t kMostFleetName = 64;  // bytes, as the wire has it
+constexpr Duration kMostStall = 60s;
+
+/// Addresses with their ports, or (`hosts`) without.
+std::vector<std::string> read_addresses(Table& from, std::string_view key, bool hosts) {
+    std::vector<std::string> result;
+    for (const toml::node* node : from.items(key)) {
+        const auto text = node->value_exact<std::string>();
+        if (!text || !parse_address(hosts ? *text + ":1" : *text))
+            from.reader().fail(*node, fmt::format("each of '{}' must be an address such as \"{}\"", key,
+                                                  hosts ? "10.0.0.4" : "10.0.0.4:7400"));
+        result.push_back(*text);
+    }
+    return result;
+}
+
+void read_address(Table& from, std::string_view key, std::string& into, bool needed) {
+    from.text(key, into, needed);
+    if (!into.empty() && !parse_address(into))
+        from.reader().fail(from.need(key),
+                           fmt::format("'{}' must be an address such as \"10.0.0.4:7400\"", key));
+}
+
+fleet::Options read_fleet(Table& from) {
+    fleet::Options result;
+    from.text("name", result.name, true);
+    if (result.name.empty() || result.name.size() > kMostFleetName ||
+        result.name.find_first_of(" \t\r\n") != std::string::npos)
+        from.reader().fail(from.need("name"),
+                           fmt::format("'name' must have 1 to {} bytes and no blanks", kMostFleetName));
+    read_address(from, "listen", result.listen, true);
+    read_address(from, "advertise", result.advertise, false);
+    result.seeds = read_addresses(from, "seeds", false);
+    result.permitted = read_addresses(from, "permitted", true);
+    from.whole("links", result.most_links, 4, 4096);
+    std::size_t queued_kb = result.most_queued / 1024;
+    from.whole("queued_kb", queued_kb, 64, 64 * 1024);
+    result.most_queued = queued_kb * 1024;
+    fleet::Pace& pace = result.pace;
+    from.span("probe_every", pace.probe_every, true);
+    from.span("probe_patience", pace.probe_patience, true);
+    from.whole("helpers", pace.helpers, 0, 16);
+    from.span("gossip_every", pace.gossip_every, true);
+    from.whole("gossip_to", pace.gossip_to, 1, 16);
+    from.span("stall", pace.stall, true);
+    from.span("gone", pace.gone, true);
+    from.span("exchange_every", pace.exchange_every, true);
+    from.span("reconnect_every", pace.reconnect_every, true);
+    from.span("forget_after", pace.forget_after, true);
+    if (pace.probe_patience >= pace.probe_every) from.fail("'probe_patience' is not below 'probe_every'");
+    if (pace.stall > kMostStall) from.fail("'stall' is over 60s: nobody would be missed");
+    if (pace.gone > pace.stall) from.fail("'gone' is over 'stall'");
+    from.end();
+    return result;
+}
+
 }  // namespace
 
 Features read_features(std::string_view text, const std::string& file) {
@@ -101,6 +158,7 @@
             table->whole("per_endpoint", result.connections.per_endpoint, 1, kMostConnections);
             table->end();
         }
+        if (auto table = top.table("fleet")) result.fleet = read_fleet(*table);
         if (auto table = top.table("ledger")) result.ledger = read_ledger(*table);
         if (auto table = top.table("telemetry")) {
             telemetry::Options& into = result.telemetry.emplace();
--- a/src/assembly/features.h
+++ b/src/assembly/features.h
@@ -11,6 +11,7 @@
 #include "config/toml_reader.h"
 #include "core/counters.h"
 #include "core/policy.h"
+#include "fleet/options.h"
 #include "ledger/options.h"
 #include "membership/membership.h"
 #include "outlier/outlier_policy.h"
@@ -29,6 +30,7 @@
     std::optional<outlier::Options> outliers;
     std::optional<double> caution_share;  ///< of [membership]: the share of a tier whose removal is doubted
     ConnectionOptions connections;
+    std::optional<fleet::Options> fleet;
     std::optional<ledger::Options> ledger;
     std::optional<telemetry::Options> telemetry;
 };
--- a/src/config/targets.cpp
+++ b/src/config/targets.cpp
@@ -1,7 +1,5 @@
 #include "config/targets.h"
 
-#include <boost/asio/ip/address.hpp>
-#include <charconv>
 #include <cmath>
 
 #include "core/log.h"
@@ -55,18 +53,6 @@
 
 }  // namespace
 
-std::optional<Address> parse_address(std::string_view text) {
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos) return std::nullopt;
-    boost::system::error_code error;
-    const auto host = boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
-    std::uint16_t port = 0;
-    const char* end = text.data() + text.size();
-    const auto [stop, fault] = std::from_chars(text.data() + colon + 1, end, port);
-    if (error || fault != std::errc{} || stop != end) return std::nullopt;
-    return Address{host, port};
-}
-
 TargetList parse_targets(const object& from, const Names& names) {
     TargetList result;
     result.revision = to_unsigned(need(from, "rev"), "rev");
--- a/src/config/targets.h
+++ b/src/config/targets.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "config/fields.h"
+#include "core/address.h"
 #include "membership/target.h"
 
 namespace martenford {
@@ -17,9 +18,6 @@
     std::vector<std::string> zones, kinds;
 };
 
-/// "10.0.0.4:8443"; nothing where the text is no such address.
-std::optional<Address> parse_address(std::string_view text);
-
 /// Throws FieldError where the list as a whole makes no sense; entries that make none are skipped, with one
 /// line of log for all of them.
 TargetList parse_targets(const loftfront::json::object& from, const Names& names);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "assembly/features.h"
+#include "command/fleet.h"
 #include "command/why.h"
 #include "config/config.h"
 #include "console/console.h"
@@ -29,6 +30,7 @@
 #include "http1/front.h"
 #include "ledger/recorder.h"
 #include "ledger/writer_link.h"
+#include "peers/peers.h"
 #include "telemetry/collector.h"
 
 namespace martenford {
@@ -37,6 +39,7 @@
 constexpr int kBadConfig = 2;  // exit code
 // The standard streams, the loop's own, the listener, discovery, the console's.
 constexpr std::size_t kSpareSockets = 16 + Console::kMostCallers;
+constexpr std::size_t kLeastForRequests = 16;  // descriptors for clients and endpoints, or nothing is served
 constexpr Duration kLateFirstList =
     4s;  // a process that takes over serves by the list it was given after this
 
@@ -84,7 +87,7 @@
   public:
     Program(const Features& features, const Config& config)
         : config_(config),
-          half_((config.sockets - kSpareSockets) / 2),
+          half_((config.sockets - set_aside(features, config)) / 2),
           most_back_(features.connections.most > 0 ? std::min(features.connections.most, half_) : half_),
           hang_up_(loop_.io(), SIGHUP),
           signals_(loop_.io(), SIGTERM, SIGINT),
@@ -98,6 +101,10 @@
           telemetry_(features.telemetry ? std::make_unique<Telemetry>(*features.telemetry, config, loop_,
                                                                       placement(), counters_)
                                         : nullptr),
+          peers_(features.fleet
+                     ? std::make_unique<peers::Peers>(loop_, *features.fleet, config.name, zone_of(config),
+                                                      MARTENFORD_VERSION, counters_)
+                     : nullptr),
           discovery_(loop_, telemetry_ ? static_cast<Placement&>(telemetry_->tap) : placement(), engine_,
                      config, membership_options(features, config.settings), counters_),
           front_(
@@ -156,6 +163,18 @@
         telemetry::Collector collector;
         telemetry::NamesTap tap;
     };
+    /// Descriptors that neither clients nor endpoints get; those of the fleet's links among them.
+    static std::size_t set_aside(const Features& features, const Config& config) {
+        std::size_t spare = kSpareSockets;
+        if (features.fleet) spare += features.fleet->most_links + peers::Peers::kOtherSockets;
+        if (spare + kLeastForRequests > config.sockets)
+            throw ConfigError(config.name + ": field 'limits.sockets' leaves no room beside [fleet]'s links");
+        return spare;
+    }
+    static std::string zone_of(const Config& config) {
+        const auto& zones = config.names.zones;
+        return config.settings.zone < zones.size() ? zones[config.settings.zone] : std::string();
+    }
     Placement& placement() { return journal_ ? static_cast<Placement&>(journal_->recorder) : back_; }
 
     /// Of this process, in the journal: 63 bits, as its file's numbers have.
@@ -166,6 +185,7 @@
 
     void start(std::optional<int> listener) {
         if (journal_) journal_->link.start(listener.has_value());
+        if (peers_) peers_->start(listener.has_value());
         engine_.start();
         discovery_.start();
         if (!listener) {
@@ -221,13 +241,17 @@
                           front_.activate();
                           return true;
                       },
-                      [this](std::string_view line) {
-                          return telemetry_ ? telemetry_->collector.answer(line) : std::nullopt;
+                      [this](std::string_view line) -> std::optional<std::string> {
+                          if (telemetry_) {
+                              if (auto lines = telemetry_->collector.answer(line)) return lines;
+                          }
+                          return peers_ ? peers_->answer(line) : std::nullopt;
                       }});
     }
 
     void end() {
         ending_ = true;
+        if (peers_) peers_->leave();
         const auto over = [this] {
             if (!journal_) return loop_.stop();
             journal_->link.finish(kJournalEnd, [this] { loop_.stop(); });
@@ -259,6 +283,7 @@
     std::unique_ptr<Journal> journal_;
     Engine engine_;
     std::unique_ptr<Telemetry> telemetry_;
+    std::unique_ptr<peers::Peers> peers_;
     Discovery discovery_;
     Http1Front front_;
     std::optional<Console> console_;
@@ -304,6 +329,18 @@
         ->check(CLI::Range(1, 100));
     ask_why->add_option("--class", why.klass, "of those")->needs("--slowest");
     ask_why->add_flag("--latencies", why.latencies, "quantiles of the time to an answer");
+    martenford::FleetWords fleet;
+    auto* ask_fleet = app.add_subcommand("fleet", "asks a running sidecar about the others of its fleet");
+    ask_fleet->require_subcommand(1);
+    for (const auto& [name, what] :
+         {std::pair{"members", "who is alive, as it sees them"}, std::pair{"links", "its links to others"},
+          std::pair{"watch", "what changes, until it is interrupted"}}) {
+        auto* each = ask_fleet->add_subcommand(name, what);
+        each->add_option("--console", fleet.console, "where operators call; otherwise PROXY_CONSOLE")
+            ->type_name("ADDRESS");
+        each->add_flag("--json", fleet.json, "one JSON object a line");
+        each->callback([&fleet, name = name] { fleet.what = name; });
+    }
     app.require_subcommand(0, 1);
     try {
         app.parse(argc, argv);
@@ -311,6 +348,7 @@
         return app.exit(error) == 0 ? 0 : martenford::kBadConfig;
     }
     if (ask_why->parsed()) return martenford::ask_why(why);
+    if (ask_fleet->parsed()) return martenford::ask_fleet(fleet);
     if (ledger->parsed()) return martenford::ask_journal(ledger->remaining());
     try {
         const martenford::Features features = martenford::features_of(own);
--- /dev/null
+++ b/src/peers/peers.h
@@ -0,0 +1,84 @@
+// Links between the sidecars of a fleet, over TCP, and this process's place in it. The only package that
+// holds sockets to other sidecars; who is alive is decided by fleet::Fleet.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/address.h"
+#include "core/counters.h"
+#include "core/loop.h"
+#include "fleet/fleet.h"
+#include "peers/queue.h"
+
+namespace martenford::peers {
+
+class Peers {
+  public:
+    /// Descriptors beside the links': the listener, and one that is accepted only to be told that there is no
+    /// room.
+    static constexpr std::size_t kOtherSockets = 2;
+
+    /// `name`, `zone`: this sidecar's; `heir`: an earlier process of it hands over to this one. `options`
+    /// outlives it.
+    Peers(Loop& loop, const fleet::Options& options, std::string name, std::string zone, std::string version,
+          Counters& counters);
+    ~Peers();
+
+    void start(bool heir);
+    /// Tells the others. The links stay until the process ends.
+    void leave();
+    /// Calls of operators: "fleet members", "fleet links", "fleet events SINCE". Nothing where it is none of
+    /// these.
+    std::optional<std::string> answer(std::string_view line) const;
+    const fleet::Fleet* fleet() const { return fleet_ ? &*fleet_ : nullptr; }
+
+  private:
+    class Link;
+    using Links = std::list<std::shared_ptr<Link>>;
+
+    void listen();
+    void accept();
+    bool permitted(const Address& from) const;
+    void pump();
+    void send(fleet::Fleet::Send&& send);
+    std::shared_ptr<Link> dial(const std::string& address);
+    bool make_room();
+    void greeted(Link& link);
+    void arrived(Link& link, const fleet::Message& message);
+    void ended(Link& link, fleet::Evidence evidence);
+    void tell(const fleet::Change& change);
+    std::string members() const;
+    std::string links() const;
+    std::string events(std::uint64_t since) const;
+
+    Loop& loop_;
+    const fleet::Options& options_;
+    const std::string name_, zone_, version_;
+    bool heir_ = false, listens_anywhere_ = false, said_no_listener_ = false;
+    Address listen_;
+    std::optional<fleet::Fleet> fleet_;
+    asio::ip::tcp::acceptor acceptor_;
+    Timer tick_, again_, leave_;
+    Links links_;
+    std::map<std::string, std::weak_ptr<Link>> by_address_;  ///< the link that is written to
+    /// Addresses whose links are refused for a while: floods, and what can't be read.
+    std::map<asio::ip::address, Time> shunned_;
+    /// What operators may read again, with a number each.
+    std::deque<std::pair<std::uint64_t, std::string>> events_;
+    std::uint64_t last_event_ = 0;
+    Time events_from_{};
+    std::size_t events_logged_ = 0, events_unlogged_ = 0;
+    bool pumping_ = false;
+    Counter &bytes_in_, &bytes_out_, &opened_, &refused_, &dropped_, &bad_;
+};
+
+}  // namespace martenford::peers
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -224,15 +224,11 @@
     Message stale;
     stale.kind = Message::Kind::Entries;
     for (int i = 0; i < 100; ++i) {
-        stale.claims.push_back({{"old" + std::to_string(i), 77},
-                                "10.9.9." + std::to_string(i) + ":1",
-                                "",
-                                "",
-                                3,
-                                State::Alive,
-                                {},
-                                "",
-                                false});
+        fleet::Claim claim;
+        claim.id = {"old" + std::to_string(i), 77};
+        claim.address = "10.9.9." + std::to_string(i) + ":1";
+        claim.incarnation = 3;
+        stale.claims.push_back(claim);
     }
     model.inject(2, model.fleet(0).self().id, FleetModel::address_of(0), stale);
     EXPECT_TRUE(model.run_until([&] { return model.all_agree(); }, 120s));
@@ -245,15 +241,13 @@
     const Id before = model.fleet(1).self().id;
     Message lie;
     lie.kind = Message::Kind::News;
-    lie.claims.push_back({before,
-                          FleetModel::address_of(1),
-                          "",
-                          "",
-                          fleet::kMostIncarnation,
-                          State::Suspect,
-                          {},
-                          "n0",
-                          false});
+    fleet::Claim claim;
+    claim.id = before;
+    claim.address = FleetModel::address_of(1);
+    claim.incarnation = fleet::kMostIncarnation;
+    claim.state = State::Suspect;
+    claim.by = "n0";
+    lie.claims.push_back(claim);
     model.inject(1, model.fleet(0).self().id, FleetModel::address_of(0), lie);
     EXPECT_NE(model.fleet(1).self().id, before);
     EXPECT_TRUE(model.run_until([&] { return model.all_agree(); }, 30s));
