--- a/emulator/sidecar_process.cpp
+++ b/emulator/sidecar_process.cpp
@@ -7,7 +7,6 @@
 #include <unistd.h>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -98,6 +97,31 @@
     if (pid_ > 0) ::kill(pid_, SIGKILL);
 }
 
+void SidecarProcess::signal(int number) const {
+    if (pid_ > 0) ::kill(pid_, number);
+}
+void SidecarProcess::terminate() const {
+    signal(SIGTERM);
+}
+void SidecarProcess::pause() const {
+    signal(SIGSTOP);
+}
+void SidecarProcess::wake() const {
+    signal(SIGCONT);
+}
+
+void SidecarProcess::take(const std::string& line) {
+    const auto after = [&line](std::string_view says, Address& into) {
+        const auto at = line.find(says);
+        if (at == std::string::npos) return;
+        const std::string rest = line.substr(at + says.size());
+        if (const auto address = parse_address(rest.substr(0, rest.find(' ')))) into = *address;
+    };
+    after("listening on ", address_);
+    after("operators call at ", console_);
+    after("': listens at ", fleet_);
+}
+
 void SidecarProcess::reload(const std::string& config) {
     if (pid_ <= 0) return;
     const std::string fresh = config_path_ + ".new";
@@ -117,29 +141,20 @@
 }
 
 void SidecarProcess::read() {
-    log_.async_read_some(boost::asio::buffer(chunk_), [weak = weak_from_this()](const auto& error,
-                                                                                std::size_t size) {
-        const auto self = weak.lock();
-        if (!self || error) return;
-        self->pending_.append(self->chunk_.data(), size);
-        if (self->pending_.size() > kMostLine) self->pending_ += '\n';
-        for (std::size_t end; (end = self->pending_.find('\n')) != std::string::npos;) {
-            const std::string line = self->pending_.substr(0, end);
-            self->pending_.erase(0, end + 1);
-            constexpr std::string_view kSays = "listening on ";
-            if (const auto at = line.find(kSays); at != std::string::npos) {
-                const std::string where = line.substr(at + kSays.size());
-                const auto colon = where.rfind(':');
-                boost::system::error_code bad;
-                const auto host = boost::asio::ip::make_address(where.substr(0, colon), bad);
-                if (!bad) {
-                    self->address_ = {host, static_cast<std::uint16_t>(std::atoi(where.c_str() + colon + 1))};
-                }
-            }
-            if (self->line_) self->line_(line);
-        }
-        self->read();
-    });
+    log_.async_read_some(boost::asio::buffer(chunk_),
+                         [weak = weak_from_this()](const auto& error, std::size_t size) {
+                             const auto self = weak.lock();
+                             if (!self || error) return;
+                             self->pending_.append(self->chunk_.data(), size);
+                             if (self->pending_.size() > kMostLine) self->pending_ += '\n';
+                             for (std::size_t end; (end = self->pending_.find('\n')) != std::string::npos;) {
+                                 const std::string line = self->pending_.substr(0, end);
+                                 self->pending_.erase(0, end + 1);
+                                 self->take(line);
+                                 if (self->line_) self->line_(line);
+                             }
+                             self->read();
+                         });
 }
 
 }  // namespace martenford::emulator
--- a/emulator/sidecar_process.h
+++ b/emulator/sidecar_process.h
@@ -31,6 +31,11 @@
 
     /// SIGKILL; it is reaped in the destructor at the latest.
     void kill();
+    /// SIGTERM: it answers what it has taken, tells its fleet, and ends.
+    void terminate() const;
+    /// It stands still, as a process without a processor does: SIGSTOP, SIGCONT.
+    void pause() const;
+    void wake() const;
     /// Replaces its configuration, whole or not at all, and sends SIGHUP.
     void reload(const std::string& config);
     /// Whether it has ended, by itself or killed. Reaps it then.
@@ -38,16 +43,22 @@
     bool was_killed() const { return killed_; }
     /// Where it said that it listens; port 0: not yet.
     const Address& address() const { return address_; }
+    /// Where it said that operators call.
+    const Address& console() const { return console_; }
+    /// Where it said that others of its fleet reach it, before any relay.
+    const Address& fleet() const { return fleet_; }
 
   private:
     void read();
+    void take(const std::string& line);
+    void signal(int number) const;
 
     Loop& loop_;
     std::string config_path_, own_path_;
     Line line_;
     pid_t pid_ = 0;
     bool killed_ = false;
-    Address address_;
+    Address address_, console_, fleet_;
     boost::asio::posix::stream_descriptor log_;
     std::string pending_;
     std::array<char, 4096> chunk_{};
--- a/src/core/loop.h
+++ b/src/core/loop.h
@@ -26,6 +26,8 @@
     /// Runs until stop().
     void run();
     void stop() { stopped_ = true; }
+    /// After stop(): run() may be called again.
+    void resume() { stopped_ = false; }
 
   private:
     void fire_due();
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -25,7 +25,8 @@
 constexpr Duration kJoinAgain = 300ms;       // between asks of a member that knows nobody yet
 constexpr Duration kJoinMost = 3s;
 constexpr Duration kLossSettles = 1s;  // deaths that follow each other in this time are told of together
-constexpr Duration kLossMost = 5s;
+constexpr Duration kLossMost = 10s;
+constexpr Duration kLossLook = 200ms;  // until those that are suspected too are dead or have refuted
 constexpr std::size_t kLossLeast = 3;  // as many, and a tenth of all, went at once
 constexpr std::size_t kLossShare = 10;
 constexpr std::uint32_t kIndirect = 2;     // one lost message is no broken link
@@ -71,7 +72,7 @@
     for (const auto& [seq, probe] : probes_) when = std::min(when, probe.asked ? probe.end_at : probe.ask_at);
     for (const auto& [seq, errand] : errands_) when = std::min(when, errand.until);
     if (!suspects_.empty()) when = std::min(when, suspects_.begin()->first);
-    if (!lost_.empty()) when = std::min(when, lost_at_ + kLossSettles);
+    if (!lost_.empty()) when = std::min(when, settle_at_);
     return when;
 }
 
@@ -132,7 +133,7 @@
     if (distrust_since_ && now > *distrust_since_ + kDistrustMost) distrust_since_.reset();
     forget(now);
     settle_losses(now);
-    due_ = next();
+    due_ = std::max(now, next());
 }
 
 /// The process got no processor, or was stopped: what it did not hear in that time says nothing of others.
@@ -598,6 +599,7 @@
             }
             lost_.push_back(claim.id);
             lost_at_ = now;
+            settle_at_ = now + kLossSettles;
             lost_gone_ += claim.evidence == Evidence::Gone ? 1 : 0;
             break;
     }
@@ -778,7 +780,15 @@
 }
 
 void Fleet::settle_losses(Time now) {
-    if (lost_.empty() || (now < lost_at_ + kLossSettles && now < lost_since_ + kLossMost)) return;
+    if (lost_.empty() || now < settle_at_) return;
+    // Whoever is still suspected of before may belong to them: accusers come at different times.
+    const bool more = std::any_of(suspects_.begin(), suspects_.end(), [this](const auto& entry) {
+        return members_.at(entry.second).suspicion->since() <= lost_at_;
+    });
+    if ((more || now < lost_at_ + kLossSettles) && now < lost_since_ + kLossMost) {
+        settle_at_ = std::max(lost_at_ + kLossSettles, now + kLossLook);
+        return;
+    }
     const std::vector<Id> lost = std::exchange(lost_, {});
     if (lost.size() >= kLossLeast && lost.size() * kLossShare >= lost_of_) {
         change(Change::What::LostAtOnce, now, lost,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -222,7 +222,7 @@
     std::deque<Time> entries_sent_;
 
     std::vector<Id> lost_;  ///< died of late, not told of yet
-    Time lost_since_{}, lost_at_{};
+    Time lost_since_{}, lost_at_{}, settle_at_{};
     std::size_t lost_of_ = 0;
     std::size_t lost_gone_ = 0;
 
--- a/src/framing/frame.h
+++ b/src/framing/frame.h
@@ -14,8 +14,9 @@
 namespace martenford::framing {
 
 constexpr std::size_t kFrameHead = 8;
-/// Bytes of a message in a frame, unless a reader says otherwise. The longest are a journal's intent (an id of
-/// 128 bytes, a key, names from discovery's list; heads are bounded at 8 KiB) and a piece of a list of members.
+/// Bytes of a message in a frame, unless a reader says otherwise. The longest are a journal's intent (an id
+/// of 128 bytes, a key, names from discovery's list; heads are bounded at 8 KiB) and a piece of a list of
+/// members.
 constexpr std::size_t kMostFrame = 64 * 1024;
 
 /// The peer does not speak as agreed: nothing more of it can be read.
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -22,17 +22,25 @@
 
 constexpr Duration kConnectTime = 1s;  // for a link to come up: a path that drops packets says nothing
 constexpr Duration kGreetTime = 1s;    // for the other side's hello; a stalled process says nothing either
+constexpr Duration kFrameTime = 2s;    // for the rest of a frame: a damaged length would wait for ever
+constexpr Duration kNoWord = 5s;       // asked for so long without a byte in answer, a link is dialled anew
 constexpr Duration kListenAgain = 1s;
 constexpr Duration kAcceptAgain = 50ms;  // after running out of descriptors
 constexpr std::size_t kWriteAtOnce = 64 * 1024;
 constexpr std::size_t kMostMessages = 2000;  // a second and link; a fleet of 300 that starts at once sends 50
-constexpr Duration kShun = 5s;               // whoever floods or can't be read is not heard for so long
+constexpr Duration kShun = 5s;               // whoever floods is not heard for so long
 constexpr std::size_t kMostShunned = 256;
-constexpr std::size_t kMostEvents = 256;    // that can be read again
+constexpr std::size_t kMostEvents = 256;  // that can be read again
+constexpr std::size_t kMostTurns = 1024;
 constexpr std::size_t kLoggedAMinute = 60;  // lines of log; the rest is counted in one
 constexpr std::size_t kMostNamed = 5;       // members by name in one line
 constexpr int kBacklog = 512;               // all of a fleet may dial one member at once
 
+/// What is no accident: whoever does so is not heard for a while.
+struct Flood : framing::FrameError {
+    using FrameError::FrameError;
+};
+
 std::uint64_t random_id() {
     std::random_device random;
     std::uint64_t id = 0;
@@ -86,6 +94,7 @@
     }
     void put(const Message& message) {
         used_ = peers_.loop_.now();
+        if (phase_ == Phase::Up && message.kind == Message::Kind::Ping && asked_ == Time{}) asked_ = used_;
         const auto dropped = queue_.dropped();
         queue_.put(message);
         peers_.dropped_.add(queue_.dropped() - dropped);
@@ -119,6 +128,8 @@
     const Id& id() const { return id_; }
     const std::string& version() const { return version_; }
     Time used() const { return used_; }
+    /// Guards against a connection that stands and carries nothing, as after a machine's loss.
+    bool mute() const { return asked_ != Time{} && peers_.loop_.now() > asked_ + kNoWord; }
     const Queue& queue() const { return queue_; }
     std::uint64_t bytes_in() const { return bytes_in_; }
     std::uint64_t bytes_out() const { return bytes_out_; }
@@ -147,6 +158,7 @@
                                     if (self->phase_ == Phase::Ended) return;
                                     if (error) return self->end(Evidence::Stalled);
                                     self->bytes_in_ += size;
+                                    self->asked_ = {};
                                     self->peers_.bytes_in_.add(size);
                                     self->take({self->chunk_.data(), size});
                                 });
@@ -173,16 +185,31 @@
                     }
                 }
             }
-        } catch (const framing::FrameError&) {
-            // This link alone: what others say is not touched by it.
-            peers_.bad_.add();
+        } catch (const Flood&) {
             error_code ignored;
             const auto from = socket_.remote_endpoint(ignored);
-            if (!outbound_ && !ignored && peers_.shunned_.size() < kMostShunned)
+            if (!ignored && peers_.shunned_.size() < kMostShunned)
                 peers_.shunned_[from.address()] = peers_.loop_.now() + kShun;
+            peers_.bad_.add();
             return end(Evidence::Stalled);
+        } catch (const framing::FrameError&) {
+            // This link alone: what others say is not touched by it.
+            peers_.bad_.add();
+            return end(Evidence::Stalled);
+        }
+        if (phase_ == Phase::Ended) return;
+        if (phase_ == Phase::Up) {
+            if (reader_.empty()) {
+                limit_.cancel();
+                whole_ = true;
+            } else if (std::exchange(whole_, false)) {
+                limit_.set(peers_.loop_.now() + kFrameTime, [self = shared_from_this()] {
+                    self->peers_.bad_.add();
+                    self->end(Evidence::Stalled);
+                });
+            }
         }
-        if (phase_ != Phase::Ended) read();
+        read();
     }
     void greeted(const fleet::Hello& hello) {
         if (phase_ != Phase::Greeting) throw framing::FrameError("a second hello");
@@ -204,7 +231,7 @@
             counted_from_ = now;
             counted_ = 0;
         }
-        if (++counted_ > kMostMessages) throw framing::FrameError("too many messages");
+        if (++counted_ > kMostMessages) throw Flood("too many messages");
     }
 
     Peers& peers_;
@@ -212,12 +239,12 @@
     Timer limit_;
     const bool outbound_;
     Phase phase_ = Phase::Connecting, ended_in_ = Phase::Connecting;
-    bool writing_ = false, parted_ = false;
+    bool writing_ = false, parted_ = false, whole_ = true;
     Queue queue_;
     framing::FrameReader reader_;
     std::string address_, version_, out_;
     Id id_;
-    Time used_, counted_from_{};
+    Time used_, asked_{}, counted_from_{};
     std::size_t counted_ = 0;
     std::uint64_t bytes_in_ = 0, bytes_out_ = 0;
     std::array<char, 16 * 1024> chunk_{};
@@ -353,7 +380,10 @@
             send(std::move(each));
         }
         for (const fleet::Change& each : fleet_->take_changes()) tell(each);
-        fleet_->take_turns();
+        for (fleet::Turn& each : fleet_->take_turns()) {
+            turns_.push_back({++last_turn_, loop_.now(), std::move(each)});
+            if (turns_.size() > kMostTurns) turns_.pop_front();
+        }
     }
     pumping_ = false;
     tick_.set(fleet_->next(), [this] {
@@ -365,6 +395,10 @@
 void Peers::send(fleet::Fleet::Send&& send) {
     std::shared_ptr<Link> link;
     if (const auto it = by_address_.find(send.address); it != by_address_.end()) link = it->second.lock();
+    if (link && link->mute()) {
+        link->bye();
+        link.reset();
+    }
     if (!link || link->phase() == Link::Phase::Ended || link->parted()) link = dial(send.address);
     if (link) link->put(send.message);
 }
@@ -450,8 +484,9 @@
             name_of(view.sight), self ? 0.0 : static_cast<double>((now - view.since) / 1ms) / 1000.0, view.by,
             view.doubled ? " doubled=1" : "",
             view.stalled_ms ? fmt::format(" stood_ms={}", view.stalled_ms) : "",
-            self ? fmt::format(" self=1 health={} distrusts_itself={}", fleet_->health(),
-                               fleet_->distrusts_itself() ? 1 : 0)
+            self ? fmt::format(" self=1 health={} distrusts_itself={} deaths={} refutations={} stalls={}",
+                               fleet_->health(), fleet_->distrusts_itself() ? 1 : 0, fleet_->figures().deaths,
+                               fleet_->figures().refutations, fleet_->figures().stalls)
                  : "");
     }
     return text;
@@ -480,14 +515,28 @@
     return text;
 }
 
+std::string Peers::turns(std::uint64_t since) const {
+    std::string text;
+    for (const Turned& each : turns_) {
+        if (each.number <= since) continue;
+        text += fmt::format("number={} at_ns={} name={} boot={:016x} state={}\n", each.number,
+                            each.at.time_since_epoch().count(), each.turn.id.name, each.turn.id.boot,
+                            name_of(each.turn.state));
+    }
+    return text;
+}
+
 std::optional<std::string> Peers::answer(std::string_view line) const {
     if (!line.starts_with("fleet ")) return std::nullopt;
     if (!fleet_) return "";
     line.remove_prefix(6);
     if (line == "members") return members();
     if (line == "links") return links();
-    if (line.starts_with("events "))
-        return events(std::strtoull(std::string(line.substr(7)).c_str(), nullptr, 10));
+    const auto number = [&line](std::size_t from) {
+        return std::strtoull(std::string(line.substr(from)).c_str(), nullptr, 10);
+    };
+    if (line.starts_with("events ")) return events(number(7));
+    if (line.starts_with("turns ")) return turns(number(6));
     return std::nullopt;
 }
 
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -36,7 +36,8 @@
     void start(bool heir);
     /// Tells the others. The links stay until the process ends.
     void leave();
-    /// Calls of operators: "fleet members", "fleet links", "fleet events SINCE". Nothing where it is none of
+    /// Calls of operators: "fleet members", "fleet links", "fleet events SINCE", "fleet
+    /// turns SINCE". Nothing where it is none of
     /// these.
     std::optional<std::string> answer(std::string_view line) const;
     const fleet::Fleet* fleet() const { return fleet_ ? &*fleet_ : nullptr; }
@@ -59,6 +60,7 @@
     std::string members() const;
     std::string links() const;
     std::string events(std::uint64_t since) const;
+    std::string turns(std::uint64_t since) const;
 
     Loop& loop_;
     const fleet::Options& options_;
@@ -70,11 +72,18 @@
     Timer tick_, again_, leave_;
     Links links_;
     std::map<std::string, std::weak_ptr<Link>> by_address_;  ///< the link that is written to
-    /// Addresses whose links are refused for a while: floods, and what can't be read.
+    /// Addresses whose links are refused for a while: floods.
     std::map<asio::ip::address, Time> shunned_;
     /// What operators may read again, with a number each.
     std::deque<std::pair<std::uint64_t, std::string>> events_;
     std::uint64_t last_event_ = 0;
+    struct Turned {
+        std::uint64_t number = 0;
+        Time at{};
+        fleet::Turn turn;
+    };
+    std::deque<Turned> turns_;
+    std::uint64_t last_turn_ = 0;
     Time events_from_{};
     std::size_t events_logged_ = 0, events_unlogged_ = 0;
     bool pumping_ = false;
