--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -30,6 +30,9 @@
 constexpr std::size_t kLossLeast = 3;  // as many, and a tenth of all, went at once
 constexpr std::size_t kLossShare = 10;
 constexpr std::uint32_t kIndirect = 2;     // one lost message is no broken link
+constexpr std::size_t kRecent = 32;        // as many as have links
+constexpr std::size_t kLookRound = 3;      // others that are asked when one has died,
+constexpr std::size_t kLookRoundMost = 8;  // for the first so many that die together
 constexpr Duration kProbedLately = 100ms;  // a link that ended is no reason to probe again within this
 constexpr int kSuspicionStretch = 3;       // the longest a suspect has, in its shortest
 constexpr std::size_t kTellLeaving = 8;    // told directly
@@ -173,7 +176,7 @@
     }
     const auto known = members_.find(from);
     const bool stranger = known == members_.end();
-    if (!stranger) known->second.heard = now;
+    if (!stranger) heard(now, known->second);
     switch (message.kind) {
         case Message::Kind::Ping: {
             Message ack;
@@ -389,7 +392,7 @@
     probe.ask_at = now;
     const auto target = members_.find(probe.target);
     if (target == members_.end()) return;
-    for (Member* helper : some(pace_.helpers, &probe.target, true)) {
+    for (Member* helper : helpers(now, probe.target)) {
         Message ask;
         ask.kind = Message::Kind::Ask;
         ask.seq = seq;
@@ -421,7 +424,8 @@
     heard_from(now, from);
     if (target == members_.end()) return;
     Member& member = target->second;
-    member.answered = member.heard = now;
+    member.answered = now;
+    heard(now, member);
     member.stalled_ms = message.stalled_ms;
     const bool was_unreachable = member.indirect >= kIndirect;
     member.indirect = direct ? 0 : member.indirect + 1;
@@ -430,6 +434,44 @@
     check_pairs(now, member);
 }
 
+void Fleet::heard(Time now, Member& member) {
+    const bool lately = member.heard + pace_.probe_every > now && member.heard != Time{};
+    member.heard = now;
+    if (lately) return;
+    std::erase(recent_, member.claim.id);
+    recent_.push_back(member.claim.id);
+    if (recent_.size() > kRecent) recent_.pop_front();
+}
+
+/// Those that were heard lately, as far as there are such: one that can't be reached itself is no help, and
+/// its silence would be taken for a fault of this process.
+std::vector<Fleet::Member*> Fleet::helpers(Time now, const Id& but) {
+    std::vector<Member*> result;
+    for (std::size_t i = recent_.size(); i > 1; --i) std::swap(recent_[i - 1], recent_[draw(i)]);
+    for (const Id& id : recent_) {
+        if (result.size() >= pace_.helpers) return result;
+        const auto it = members_.find(id);
+        if (id == but || it == members_.end() || it->second.place == kNowhere) continue;
+        if (it->second.heard + 2 * pace_.stall >= now) result.push_back(&it->second);
+    }
+    for (Member* member : some(pace_.helpers, &but, true)) {
+        if (result.size() >= pace_.helpers) return result;
+        if (std::find(result.begin(), result.end(), member) == result.end()) result.push_back(member);
+    }
+    return result;
+}
+
+/// One that is silent is often not alone: some that were not heard of late are asked out of turn, so that
+/// what went at once is told of at once.
+void Fleet::look_round(Time now) {
+    if (leaving_) return;
+    for (Member* member : some(kLookRound, nullptr)) {
+        if (member->claim.state == State::Alive && member->heard + pace_.stall < now &&
+            member->probed + pace_.probe_every < now)
+            probe(now, *member);
+    }
+}
+
 void Fleet::heard_from(Time, const Id& from) {
     if (!distrust_since_) return;
     heard_since_.insert(from);
@@ -601,6 +643,7 @@
             lost_at_ = now;
             settle_at_ = now + kLossSettles;
             lost_gone_ += claim.evidence == Evidence::Gone ? 1 : 0;
+            if (lost_.size() <= kLookRoundMost) look_round(now);
             break;
     }
     if (is_here && !was_here) {
@@ -783,7 +826,7 @@
     if (lost_.empty() || now < settle_at_) return;
     // Whoever is still suspected of before may belong to them: accusers come at different times.
     const bool more = std::any_of(suspects_.begin(), suspects_.end(), [this](const auto& entry) {
-        return members_.at(entry.second).suspicion->since() <= lost_at_;
+        return members_.at(entry.second).suspicion->since() <= lost_at_ + kLossSettles;
     });
     if ((more || now < lost_at_ + kLossSettles) && now < lost_since_ + kLossMost) {
         settle_at_ = std::max(lost_at_ + kLossSettles, now + kLossLook);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -191,6 +191,9 @@
     std::size_t times_told() const;
     std::uint64_t draw(std::uint64_t below) { return below ? random_() % below : 0; }
     std::vector<Member*> some(std::size_t count, const Id* but, bool heard = false);
+    std::vector<Member*> helpers(Time now, const Id& but);
+    void heard(Time now, Member& member);
+    void look_round(Time now);
     Duration stretched(Duration d) const { return d * (1 + health_); }
     void worse(int by);
     static std::uint64_t hash_of(const Claim& claim);
@@ -218,6 +221,7 @@
     Time probe_at_{}, gossip_at_{}, compare_at_{}, reconnect_at_{}, due_{};
     std::optional<Time> distrust_since_;
     std::set<Id> heard_since_;
+    std::deque<Id> recent_;  ///< heard last, the latest last
     std::size_t join_tries_ = 0;
     std::deque<Time> entries_sent_;
 
