Scripts know links between sidecars; whoever holds an outdated suspicion is corrected

Need: faults among members have to be played beside requests with the four rules' checker, and false deaths counted. Change: [fleet], 'stop', 'cut', 'delay', 'jitter', 'drop', 'duplicate', 'reorder', 'corrupt', 'throttle' and 'break' in scenarios (on sockets); 'martenford-emulator fleet' measures members in virtual time. Found by it: a member that had missed a refutation accused by the older incarnation, which all others ignored, and buried the refuter alone; whoever knows better now answers with it. Forgotten dead came back through whole lists. Claims of those that are not alive go without addresses.

--- a/emulator/scenario.cpp
+++ b/emulator/scenario.cpp
@@ -271,6 +271,60 @@
     return result;
 }
 
+/// VERB [amount] -> or <-> WHOM, on the links between sidecars. False: it is none of these.
+bool read_link_fault(Words& words, EventSpec& event) {
+    using What = LinkSpec::What;
+    LinkSpec& link = event.link;
+    const auto with_time = [&](What what) {
+        link.what = what;
+        event.span = words.value(parse_duration, kTime);
+    };
+    const auto with_share = [&](What what) {
+        link.what = what;
+        event.amount = words.value(parse_percent, kShare);
+    };
+    if (words.take("cut")) {
+        link.what = What::Cut;
+    } else if (words.take("break")) {
+        link.what = What::Break;
+    } else if (words.take("delay")) {
+        with_time(What::Delay);
+    } else if (words.take("jitter")) {
+        with_time(What::Jitter);
+    } else if (words.take("drop")) {
+        with_share(What::Drop);
+    } else if (words.take("duplicate")) {
+        with_share(What::Duplicate);
+    } else if (words.take("reorder")) {
+        with_share(What::Reorder);
+    } else if (words.take("corrupt")) {
+        with_share(What::Corrupt);
+    } else if (words.take("throttle")) {
+        link.what = What::Throttle;
+        event.amount = words.value(parse_number, "a number of bytes a second");
+        if (event.amount < 1.0) words.fail("a link that carries nothing is cut");
+    } else {
+        return false;
+    }
+    event.verb = Verb::Links;
+    link.both = words.take("<->");
+    if (!link.both && !words.take("->")) words.fail("'->' or '<->' must follow");
+    const std::string_view whom = words.next("\"others\" or sidecars");
+    if (whom == "others") return true;
+    link.others = false;
+    const auto slash = whom.find('/');
+    const std::string_view range = slash == whom.npos ? std::string_view() : whom.substr(slash + 1);
+    const auto dash = range.find('-');
+    const auto first = parse_number(range.substr(0, dash));
+    const auto last = dash == range.npos ? first : parse_number(range.substr(dash + 1));
+    if (whom.substr(0, slash) != "sidecars" || !first || !last || *first < 0 || *last < *first ||
+        *last >= kMostSidecars || *first != std::floor(*first) || *last != std::floor(*last))
+        words.fail_before(fmt::format("'{}' is neither \"others\" nor sidecars by number", whom));
+    link.first = static_cast<std::uint32_t>(*first);
+    link.last = static_cast<std::uint32_t>(*last);
+    return true;
+}
+
 /// VERB [amount] [for TIME], by the table below; "docs/emulator.md" has the same table in words.
 void read_action(Words& words, EventSpec& event) {
     enum class Needs { Endpoints, Sidecars, Either, Nothing };
@@ -330,6 +384,13 @@
         event.verb = Verb::SidecarReload;
         needs = Needs::Sidecars;
         may_last = false;
+    } else if (words.take("stop")) {
+        event.verb = Verb::SidecarStop;
+        needs = Needs::Sidecars;
+        if (words.peek() != "for") words.fail("a stop needs 'for' and a time");
+    } else if (read_link_fault(words, event)) {
+        needs = Needs::Sidecars;
+        may_last = event.link.what != LinkSpec::What::Break;
     } else if (words.take("partition")) {
         event.verb = Verb::Partition;
     } else if (words.take("join")) {
@@ -404,6 +465,10 @@
     }
     Words words(from.reader(), from.need("do"), "do");
     read_action(words, result);
+    if (result.verb == Verb::Links && !scenario.sidecars.fleet) {
+        words.rewind();
+        words.fail("there are no links without [fleet]");
+    }
     result.text = words.text();
     from.end();
     return result;
@@ -513,6 +578,11 @@
     }
     if (auto table = top.table("clients")) result.clients = read_clients(*table);
     if (auto table = top.table("sidecars")) result.sidecars = read_sidecars(*table);
+    if (auto table = top.table("fleet")) {
+        result.sidecars.fleet = true;
+        table->text("fields", result.sidecars.fleet_fields);
+        table->end();
+    }
     if (auto table = top.table("discovery")) {
         table->word("mode", result.discovery.ask, {{"ask", true}, {"push", false}});
         table->span("notice", result.discovery.notice);
--- a/emulator/scenario.h
+++ b/emulator/scenario.h
@@ -83,6 +83,8 @@
     Duration front_notice = 2s;  ///< how long the front goes on dealing to one that has died
     std::string own;             ///< text of the sidecars' own configuration file; empty: none
     Features features;           ///< as it reads
+    bool fleet = false;          ///< those of the first tier are members of one fleet
+    std::string fleet_fields;    ///< more fields of their [fleet]
 };
 
 // ---- events ---------------------------------------------------------------------------------------
@@ -121,11 +123,22 @@
     DiscoveryStale,
     Flap,
     Lag,
+    SidecarStop,
+    Links,
     SidecarKill,
     SidecarRestart,
     SidecarReload
 };
 
+/// What happens to the links between sidecars of the first tier.
+struct LinkSpec {
+    enum class What { Cut, Delay, Jitter, Drop, Duplicate, Reorder, Corrupt, Throttle, Break };
+    What what = What::Cut;
+    bool both = false;                  ///< ways; otherwise only what is said to the others
+    bool others = true;                 ///< to all that the event is not on
+    std::uint32_t first = 0, last = 0;  ///< otherwise to these, by number
+};
+
 struct EventSpec {
     Duration at{};
     Target on;
@@ -135,7 +148,8 @@
     Duration every{};     ///< pauses and flaps: from one to the next
     Duration over{};      ///< it comes to one after another, evenly in this time
     Duration length{};    ///< 0: for good
-    std::string text;     ///< as written
+    LinkSpec link;
+    std::string text;  ///< as written
 };
 
 // ---- expectations ---------------------------------------------------------------------------------
--- a/emulator/socket_transport.cpp
+++ b/emulator/socket_transport.cpp
@@ -8,10 +8,12 @@
 #include <boost/asio/signal_set.hpp>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 #include <utility>
 
+#include "emulator/relay_net.h"
 #include "emulator/sidecar_process.h"
 #include "emulator/socket_peers.h"
 #include "emulator/world.h"
@@ -61,7 +63,7 @@
 class SocketTransport : public Transport {
   public:
     SocketTransport(Loop& loop, World& world, const SocketPlayOptions& options)
-        : loop_(loop), world_(world), options_(options) {}
+        : loop_(loop), world_(world), options_(options), net_(loop, world.seed()) {}
 
     void node_up(std::uint32_t node) override {
         // An address of its own in 127/8 for each: the port is the system's choice, and is taken again by
@@ -94,8 +96,12 @@
         const auto starts = world_.sidecars()[sidecar].starts;
         running.process = SidecarProcess::start(
             loop_, options_.program, folder_.path(), fmt::format("sidecar-{}-{}", sidecar, starts),
-            config(sidecar), world_.scenario().sidecars.own, [this, sidecar](const std::string& line) {
+            config(sidecar), own(sidecar), [this, sidecar, starts](const std::string& line) {
                 if (options_.log) options_.log(sidecar, line);
+                const auto it = sidecars_.find(sidecar);
+                if (it == sidecars_.end() || world_.sidecars()[sidecar].starts != starts) return;
+                if (it->second.process && it->second.process->fleet().port() != 0)
+                    net_.up(sidecar, it->second.process->fleet());
             });
         // What it is started with it knows.
         world_.told(sidecar, world_.registry(world_.sidecars()[sidecar].tier).all());
@@ -103,6 +109,7 @@
     void sidecar_killed(std::uint32_t sidecar) override {
         const auto it = sidecars_.find(sidecar);
         if (it == sidecars_.end()) return;
+        net_.down(sidecar);
         it->second.process->kill();
         dead_.push_back(std::move(it->second.process));
         // Calls that are out end with their connections, which the kernel resets.
@@ -119,6 +126,63 @@
         old->retire();
         loop_.add(loop_.now() + kOldAgent, [old] {});
     }
+    void sidecar_stopped(std::uint32_t sidecar, bool stopped) override {
+        const auto it = sidecars_.find(sidecar);
+        if (it == sidecars_.end()) return;
+        stopped ? it->second.process->pause() : it->second.process->wake();
+    }
+    void links_changed(const EventSpec& event, const std::vector<std::uint32_t>& who, bool on) override {
+        using What = LinkSpec::What;
+        const std::set<std::size_t> from(who.begin(), who.end());
+        std::set<std::size_t> to;
+        for (const World::Sidecar& each : world_.sidecars()) {
+            if (each.node >= 0) continue;
+            const bool named = event.link.others
+                                   ? !from.contains(each.index)
+                                   : each.index >= event.link.first && each.index <= event.link.last;
+            if (named) to.insert(each.index);
+        }
+        if (event.link.what == What::Break) {
+            for (const std::size_t a : from) {
+                for (const std::size_t b : to) net_.reset(a, b);
+            }
+            return;
+        }
+        const double share = on ? event.amount : 0.0;
+        const Duration span = on ? event.span : Duration{};
+        const auto set = [&](LinkFaults& faults) {
+            switch (event.link.what) {
+                case What::Cut:
+                    faults.cut = on;
+                    return;
+                case What::Delay:
+                    faults.delay = span;
+                    return;
+                case What::Jitter:
+                    faults.jitter = span;
+                    return;
+                case What::Drop:
+                    faults.drop = share;
+                    return;
+                case What::Duplicate:
+                    faults.duplicate = share;
+                    return;
+                case What::Reorder:
+                    faults.reorder = share;
+                    return;
+                case What::Corrupt:
+                    faults.corrupt = share;
+                    return;
+                case What::Throttle:
+                    faults.bytes_a_second = static_cast<std::size_t>(share);
+                    return;
+                case What::Break:
+                    return;
+            }
+        };
+        net_.each_pair(from, to, set);
+        if (event.link.both) net_.each_pair(to, from, set);
+    }
     bool sidecar_ready(std::uint32_t sidecar) const override {
         const auto it = sidecars_.find(sidecar);
         return it != sidecars_.end() && it->second.process->address().port() != 0;
@@ -176,6 +240,17 @@
         std::unique_ptr<CallerPool> pool;
     };
 
+    /// Its own configuration file's text.
+    std::string own(std::uint32_t sidecar) {
+        const SidecarSpec& spec = world_.scenario().sidecars;
+        if (!spec.fleet || world_.sidecars()[sidecar].node >= 0) return spec.own;
+        // The first two are known to all from the start.
+        return fmt::format(
+            "{}\n[fleet]\nname = \"{}\"\nlisten = \"{}:0\"\nadvertise = \"{}\"\nseeds = [\"{}\", "
+            "\"{}\"]\n{}\n",
+            spec.own, world_.scenario().name, RelayNet::host_of(sidecar), net_.advertised(sidecar),
+            net_.advertised(0), net_.advertised(spec.count > 1 ? 1 : 0), spec.fleet_fields);
+    }
     std::string config(std::uint32_t sidecar) const {
         const World::Sidecar& spec = world_.sidecars()[sidecar];
         nlohmann::ordered_json root{
@@ -193,6 +268,7 @@
     Loop& loop_;
     World& world_;
     const SocketPlayOptions& options_;
+    RelayNet net_;
     Folder folder_;  // outlives the processes' files
     std::map<std::uint32_t, tcp::endpoint> addresses_;
     std::map<std::uint32_t, std::unique_ptr<EndpointServer>> nodes_;
--- a/emulator/transport.h
+++ b/emulator/transport.h
@@ -4,8 +4,10 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "core/scheduler.h"
+#include "emulator/scenario.h"
 
 namespace martenford::emulator {
 
@@ -57,6 +59,10 @@
     virtual void sidecar_killed(std::uint32_t sidecar) = 0;
     /// It is told, under load, to go on at another discovery.
     virtual void sidecar_reload(std::uint32_t sidecar) = 0;
+    /// It stands still, or goes on. In virtual time it has no effect: requests there know no such pause.
+    virtual void sidecar_stopped(std::uint32_t, bool) {}
+    /// A fault of links between sidecars begins or ends. In virtual time no request depends on them.
+    virtual void links_changed(const EventSpec&, const std::vector<std::uint32_t>&, bool) {}
     virtual bool sidecar_ready(std::uint32_t sidecar) const = 0;
 
     /// `done` is called once unless the caller hangs up, and never before this returns.
--- a/emulator/world.cpp
+++ b/emulator/world.cpp
@@ -1080,6 +1080,18 @@
                 for (const std::uint32_t sidecar : late) sidecars_[sidecar].lag -= by;
             });
         }
+        case Verb::SidecarStop: {
+            const auto stopped = chosen(event, number);
+            for (const std::uint32_t sidecar : stopped) transport_->sidecar_stopped(sidecar, true);
+            return ends([this, stopped] {
+                for (const std::uint32_t sidecar : stopped) transport_->sidecar_stopped(sidecar, false);
+            });
+        }
+        case Verb::Links: {
+            const auto from = chosen(event, number);
+            transport_->links_changed(event, from, true);
+            return ends([this, &event, from] { transport_->links_changed(event, from, false); });
+        }
         case Verb::SidecarKill:
         case Verb::SidecarRestart:
         case Verb::SidecarReload:
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -34,6 +34,7 @@
 constexpr std::size_t kLookRound = 3;      // others that are asked when one has died,
 constexpr std::size_t kLookRoundMost = 8;  // for the first so many that die together
 constexpr Duration kProbedLately = 100ms;  // a link that ended is no reason to probe again within this
+constexpr int kRefutation = 2;             // probe periods that a refutation has to reach all
 constexpr int kSuspicionStretch = 3;       // the longest a suspect has, in its shortest
 constexpr std::size_t kTellLeaving = 8;    // told directly
 
@@ -41,6 +42,16 @@
     return d * percent / 100;
 }
 
+/// Who is not said to be alive is known to those that hear of it, or is no use to them: most claims are of
+/// these, and half as long without its address.
+Claim brief(Claim claim) {
+    if (claim.state == State::Alive) return claim;
+    claim.address.clear();
+    claim.zone.clear();
+    claim.version.clear();
+    return claim;
+}
+
 }  // namespace
 
 const char* name_of(Sight sight) {
@@ -166,14 +177,29 @@
 void Fleet::receive(Time now, const Id& from, const std::string& address, const Message& message) {
     if (!started_ || from == self_.id) return;
     if (due_ != Time{} && now > due_ + kLate) stood(now, now - due_);
+    Message corrections;
     for (const Claim& claim : message.claims) {
+        // Guards against one that missed a refutation and buries the refuter alone: nobody else minds what is
+        // older than what they know, its subject least of all.
+        if (claim.state == State::Suspect || claim.state == State::Dead) {
+            const auto it = members_.find(claim.id);
+            const bool newer = it != members_.end() && it->second.claim.state == State::Alive &&
+                               it->second.claim.incarnation > claim.incarnation;
+            const bool own = claim.id == self_.id && incarnation_ > claim.incarnation;
+            if ((newer || own) && corrections.claims.size() < kClaimsEach)
+                corrections.claims.push_back(own ? own_claim() : it->second.claim);
+        }
         Claim taken = claim;
         // Guards against two sides of a healed partition burying each other: what one holds dead the other
         // suspects, and the suspect refutes.
-        if (message.kind == Message::Kind::Entries && taken.state == State::Dead)
-            taken.state = State::Suspect;
+        // One that is not here stays so: what was forgotten here may be remembered there.
+        if (message.kind == Message::Kind::Entries && taken.state == State::Dead) {
+            const auto held = members_.find(taken.id);
+            if (held != members_.end() && held->second.place != kNowhere) taken.state = State::Suspect;
+        }
         take(now, taken);
     }
+    if (!corrections.claims.empty()) send(address, from, std::move(corrections));
     const auto known = members_.find(from);
     const bool stranger = known == members_.end();
     if (!stranger) heard(now, known->second);
@@ -511,6 +537,7 @@
             ++figures_.ignored;
             return;
         }
+        if (claim.address.empty() && (claim.state == State::Alive || claim.state == State::Suspect)) return;
         Member& member = members_[claim.id];
         member.claim = claim;
         member.claim.state = State::Dead;  // it was not here: what follows tells how it is
@@ -541,7 +568,8 @@
                 member.claim.evidence = std::max(member.claim.evidence, claim.evidence);
                 std::erase_if(suspects_, [&](const auto& entry) { return entry.second == claim.id; });
                 suspects_.emplace(member.suspicion->deadline(), claim.id);
-                rumours_.add(claim);  // an independent word goes on, so that others' patience shortens too
+                rumours_.add(
+                    brief(claim));  // an independent word goes on, so that others' patience shortens too
                 return;
             }
             if ((here && i >= j) || (had == State::Dead && i > j)) set_state(now, member, claim);
@@ -604,7 +632,13 @@
         member.suspicion.reset();
     }
     const std::size_t before = ring_.size() + (was_here && !is_here ? 2 : 1);
-    member.claim = claim;
+    const Claim before_it = std::exchange(member.claim, claim);
+    if (claim.address.empty()) {  // only who is said to be alive is told of in full
+        member.claim.address = before_it.address;
+        member.claim.zone = before_it.zone;
+        member.claim.version = before_it.version;
+        member.claim.heir = before_it.heir;
+    }
     if (had != claim.state || !known_before) {
         member.since = now;
         turns_.push_back({claim.id, claim.state});
@@ -613,14 +647,14 @@
         digest_ += hash_of(member.claim);
         if (!was_here) into_ring(member);
     }
-    rumours_.add(claim);
+    rumours_.add(brief(member.claim));
     switch (claim.state) {
         case State::Alive:
             break;
         case State::Suspect: {
             const std::size_t others = ring_.size() > 1 ? ring_.size() - 1 : 0;
             const bool gone = claim.evidence == Evidence::Gone;
-            const Duration least = gone ? pace_.gone : pace_.stall + pace_.probe_every;
+            const Duration least = gone ? pace_.gone : pace_.stall + kRefutation * pace_.probe_every;
             member.suspicion.emplace(now, least, kSuspicionStretch * least, std::min(kAccusers, others));
             member.suspicion->accused_by(claim.by);
             suspects_.emplace(member.suspicion->deadline(), claim.id);
@@ -872,7 +906,7 @@
     for (const Claim& claim : message.claims) {
         if (claim.id == *to) return;
     }
-    message.claims.push_back(it->second.claim);
+    message.claims.push_back(brief(it->second.claim));
 }
 
 std::uint64_t Fleet::digest() const {
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -37,7 +37,7 @@
     if (from.state() >= kStates || from.evidence() >= kEvidences || from.boot() == 0)
         throw FrameError("a claim can't be used");
     return {{checked(from.name(), true), from.boot()},
-            checked(from.address(), true),
+            checked(from.address(), from.state() == static_cast<std::uint32_t>(State::Alive)),
             checked(from.zone()),
             checked(from.version()),
             std::min(from.incarnation(), kMostIncarnation),
--- a/src/fleet/wire.h
+++ b/src/fleet/wire.h
@@ -36,7 +36,7 @@
 
 struct Claim {
     Id id;
-    std::string address, zone, version;
+    std::string address, zone, version;  ///< empty where it is not said to be alive, but in lists
     std::uint64_t incarnation = 0;
     State state = State::Alive;
     Evidence evidence = Evidence::Silent;
--- a/tests/emulator/socket_emulation_test.cpp
+++ b/tests/emulator/socket_emulation_test.cpp
@@ -67,6 +67,12 @@
     EXPECT_EQ(real.drained, simulated.drained);
 }
 
+TEST(SocketEmulation, FaultsAmongTheMembersOfAFleetLoseNoRequest) {
+    const Report real = on_sockets(scenario("fleet-links"));
+    EXPECT_TRUE(real.rules_kept()) << to_text(real);
+    EXPECT_TRUE(real.expectations_met()) << to_text(real);
+}
+
 TEST(SocketEmulation, ProgramThatIsNotThereIsSaidPlainly) {
     SocketPlayOptions options;
     options.program = "/nowhere/martenford";
--- a/tools/emulator/main.cpp
+++ b/tools/emulator/main.cpp
@@ -18,6 +18,7 @@
 #include "emulator/scenario.h"
 #include "emulator/socket_transport.h"
 #include "emulator/virtual_transport.h"
+#include "fleet.h"
 
 namespace {
 
@@ -186,6 +187,24 @@
     auto* list_command = app.add_subcommand("list", "the scenarios that come with the program");
     auto* demo_command = app.add_subcommand("demo", "an incident of 20 s on real sockets");
     add_play(demo_command);
+    FleetWords fleet;
+    bool bare = false;
+    auto* fleet_command = app.add_subcommand(
+        "fleet",
+        "members of a fleet in virtual time: crashes noticed, false deaths, what it costs; one line");
+    fleet_command->add_option("--members", fleet.members, "processes")->check(CLI::Range(3, 5000));
+    fleet_command->add_option("--seed", fleet.seed);
+    fleet_command->add_option("--length", fleet.length, "played after the start");
+    fleet_command->add_option("--stalled", fleet.stalled,
+                              "share of the members that stands still at any time");
+    fleet_command->add_option("--stall", fleet.stall, "for how long each");
+    fleet_command->add_option("--bound", fleet.bound, "the setting 'stall' of [fleet]");
+    fleet_command->add_option("--crashes", fleet.crashes, "spread over the length")
+        ->check(CLI::Range(0, 1000));
+    fleet_command->add_option("--drop", fleet.drop, "share of messages that are lost");
+    fleet_command->add_flag("--bytes", fleet.bytes, "count them, too: slower");
+    fleet_command->add_flag("!--no-own-health", fleet.own_health, "without Lifeguard's own health");
+    fleet_command->add_flag("--bare", bare, "without the head");
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
@@ -196,6 +215,8 @@
     try {
         if (*check_command) return check(files);
         if (*list_command) return list();
+        fleet.head = !bare;
+        if (*fleet_command) return measure_fleet(fleet);
         if (*demo_command) {
             options.file = kDemo;
             options.sockets = !options.virtual_time;
