--- a/emulator/fleet_rig.cpp
+++ b/emulator/fleet_rig.cpp
@@ -17,7 +17,8 @@
 
 namespace {
 
-constexpr Duration kPollEvery = 150ms;
+constexpr Duration kPollEvery = 150ms,
+                   kPollEach = 3ms;   // the second for each member: the rig has one core, too
 constexpr Duration kAnswerTime = 2s;  // for a call of the console: a stopped process does not answer
 constexpr Duration kLook = 25ms;
 
@@ -252,7 +253,8 @@
         if (member.process && !member.stopped && !member.asking && member.process->console().port() != 0)
             ask(i);
     }
-    poll_.set(loop_.now() + kPollEvery, [this] { poll(); });
+    poll_.set(loop_.now() + std::max(kPollEvery, kPollEach * static_cast<int>(members_.size())),
+              [this] { poll(); });
 }
 
 void FleetRig::ask(std::size_t index) {
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -484,10 +484,13 @@
             name_of(view.sight), self ? 0.0 : static_cast<double>((now - view.since) / 1ms) / 1000.0, view.by,
             view.doubled ? " doubled=1" : "",
             view.stalled_ms ? fmt::format(" stood_ms={}", view.stalled_ms) : "",
-            self ? fmt::format(" self=1 health={} distrusts_itself={} deaths={} refutations={} stalls={}",
-                               fleet_->health(), fleet_->distrusts_itself() ? 1 : 0, fleet_->figures().deaths,
-                               fleet_->figures().refutations, fleet_->figures().stalls)
-                 : "");
+            self
+                ? fmt::format(
+                      " self=1 in={} out={} health={} distrusts_itself={} deaths={} refutations={} stalls={}",
+                      bytes_in_.value(), bytes_out_.value(), fleet_->health(),
+                      fleet_->distrusts_itself() ? 1 : 0, fleet_->figures().deaths,
+                      fleet_->figures().refutations, fleet_->figures().stalls)
+                : "");
     }
     return text;
 }
--- a/src/peers/queue.h
+++ b/src/peers/queue.h
@@ -50,6 +50,7 @@
                 bytes_ -= line.front().frame.size();
                 line.pop_front();
             }
+            if (!line.empty()) break;  // nothing less urgent slips past it
         }
         return result;
     }
--- a/tests/peers/fleet_process_test.cpp
+++ b/tests/peers/fleet_process_test.cpp
@@ -16,6 +16,12 @@
 namespace martenford::emulator {
 namespace {
 
+/// Longer and larger plays are asked for by tests/long/fleet_schedules.sh.
+std::size_t from_environment(const char* name, std::size_t otherwise) {
+    const char* value = std::getenv(name);
+    return value ? std::strtoul(value, nullptr, 10) : otherwise;
+}
+
 constexpr Duration kPatience = 30s;  // for what must come; nothing is asserted on how soon
 
 class Folder {
@@ -336,7 +342,7 @@
 class FleetSchedules : public testing::TestWithParam<std::uint64_t> {};
 
 TEST_P(FleetSchedules, EndInOneMindWithNoDeathMissedAndNobodyBuriedAlive) {
-    constexpr std::size_t kMembers = 8;
+    const std::size_t kMembers = from_environment("MARTENFORD_MEMBERS", 8);
     FleetOf fleet(kMembers, GetParam());
     fleet.settle();
     std::mt19937_64 random(GetParam());
@@ -379,7 +385,8 @@
     }
     EXPECT_TRUE(fleet.agrees()) << "seed " << GetParam();
 }
-INSTANTIATE_TEST_SUITE_P(Seeds, FleetSchedules, testing::Range<std::uint64_t>(1, 4));
+INSTANTIATE_TEST_SUITE_P(Seeds, FleetSchedules,
+                         testing::Range<std::uint64_t>(1, 1 + from_environment("MARTENFORD_SCHEDULES", 3)));
 
 }  // namespace
 }  // namespace martenford::emulator
