--- a/benchmarks/fleet.h
+++ b/benchmarks/fleet.h
@@ -105,7 +105,9 @@
             R"("ask_every":1000000000000,"cold_from":0.3,"fall_multiple":3.0,"ramp_time":5000000000,)"
             R"("stop_sending_within":1000000000,"tip_after":1000000000}}})";
         process_ = martenford::emulator::SidecarProcess::start(
-            loop_, MARTENFORD, "/tmp", "martenford-relay-" + std::to_string(getpid()), config, own, {});
+            loop_, MARTENFORD, "/tmp",
+            "martenford-relay-" + std::to_string(getpid()) + "-" + std::to_string(++started), config, own,
+            {});
         while (process_->address().port() == 0) {
             loop_.io().run_one_for(std::chrono::milliseconds(100));
             if (process_->ended()) std::exit(1);
@@ -114,6 +116,7 @@
     const tcp::endpoint& address() const { return process_->address(); }
 
   private:
+    inline static int started = 0;
     martenford::Loop loop_;
     std::shared_ptr<martenford::emulator::SidecarProcess> process_;
 };
--- a/benchmarks/relay_benchmark.cpp
+++ b/benchmarks/relay_benchmark.cpp
@@ -102,6 +102,17 @@
         return std::make_shared<BareRelay>(std::move(socket), endpoint.address());
     }};
     Sidecar sidecar{endpoint.address()};
+    /// One of eight members of a fleet; the others carry no request.
+    std::vector<std::unique_ptr<Sidecar>> members;
+    Sidecar& member() {
+        for (int i = 0; i < 8 && members.size() < 8; ++i) {
+            const std::string host = "127.40.0." + std::to_string(i + 1);
+            members.push_back(std::make_unique<Sidecar>(
+                endpoint.address(), "[fleet]\nname = \"relay\"\nlisten = \"" + host +
+                                        ":7400\"\nseeds = [\"127.40.0.1:7400\", \"127.40.0.2:7400\"]\n"));
+        }
+        return *members[0];
+    }
 };
 
 Fleet& fleet() {
@@ -135,9 +146,13 @@
 void sidecar(benchmark::State& state) {
     rounds(state, fleet().sidecar.address());
 }
+void sidecar_of_a_fleet(benchmark::State& state) {
+    rounds(state, fleet().member().address());
+}
 BENCHMARK(direct)->Arg(1)->Arg(32)->UseRealTime()->Unit(benchmark::kMicrosecond);
 BENCHMARK(bare_relay)->Arg(1)->Arg(32)->UseRealTime()->Unit(benchmark::kMicrosecond);
 BENCHMARK(sidecar)->Arg(1)->Arg(32)->UseRealTime()->Unit(benchmark::kMicrosecond);
+BENCHMARK(sidecar_of_a_fleet)->Arg(1)->Arg(32)->UseRealTime()->Unit(benchmark::kMicrosecond);
 
 }  // namespace
 
--- a/src/config/targets.cpp
+++ b/src/config/targets.cpp
@@ -2,7 +2,7 @@
 
 #include <cmath>
 
-#include "core/log.h"
+#include "core/events.h"
 
 namespace martenford {
 
@@ -71,8 +71,8 @@
     }
     // One line for a list, however long: nothing from the network may fill the log.
     if (!result.unreadable.empty()) {
-        log("discovery: entries were skipped: " + std::to_string(result.unreadable.size()) +
-            "; the first: " + first);
+        tell(Event::EntriesSkipped, "discovery: entries were skipped: " +
+                                        std::to_string(result.unreadable.size()) + "; the first: " + first);
     }
     return result;
 }
--- /dev/null
+++ b/src/core/events.h
@@ -0,0 +1,61 @@
+// What the program tells people: each kind has a stable code and a name, and is bounded in how often it is
+// told. The one table that docs/operate/events.md is made of. Never blocks: what standard error can't take is
+// counted.
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace martenford {
+
+enum class Event {
+    Listening,
+    Console,
+    TakesOver,
+    NoHeir,
+    Evacuates,
+    Activates,
+    ConfigKept,
+    DiscoveryMoves,
+    DiscoveryAnew,
+    DiscoveryTrouble,
+    DiscoveryRemark,
+    EntriesSkipped,
+    JournalLost,
+    JournalWorks,
+    JournalUnkept,
+    FleetListens,
+    FleetNoPlace,
+    FleetJoined,
+    FleetLeft,
+    FleetDied,
+    FleetLostAtOnce,
+    FleetReturned,
+    FleetDoubled,
+    FleetStood,
+    FleetAccused,
+    LinesLost
+};
+
+enum class Weight { Info, Warning, Error };
+
+struct EventKind {
+    Event event;
+    const char* code;  ///< "MF101": stays with its meaning for good
+    const char* name;  ///< "package.what"
+    Weight weight;
+    unsigned most;  ///< lines a minute; what comes more often is counted, and told of with the next one
+    const char* meaning;
+};
+const std::vector<EventKind>& event_kinds();
+/// The table as a page, for people.
+std::string events_page();
+
+using Field = std::pair<std::string_view, std::string>;
+/// One line: "martenford: CODE text | key=value ...".
+void tell(Event event, const std::string& text, std::initializer_list<Field> fields = {});
+
+}  // namespace martenford
--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -13,6 +13,8 @@
 #include <cstring>
 #include <utility>
 
+#include "core/events.h"
+
 namespace martenford {
 
 using boost::system::error_code;
@@ -149,7 +151,7 @@
         accept();
     } catch (const boost::system::system_error& error) {
         acceptor_.reset();
-        log("no later process can take over from this one: " + std::string(error.what()));
+        tell(Event::NoHeir, "no later process can take over from this one: " + std::string(error.what()));
     }
 }
 
--- a/src/ledger/recorder.cpp
+++ b/src/ledger/recorder.cpp
@@ -4,7 +4,7 @@
 #include <sstream>
 #include <utility>
 
-#include "core/log.h"
+#include "core/events.h"
 #include "core/wall_clock.h"
 
 namespace martenford::ledger {
@@ -331,7 +331,8 @@
         gap_.reason = link_.outbox().reason();
     }
     if (!std::exchange(said_unkept_, true)) {
-        log("requests that must not run twice go out unjournaled: " + link_.outbox().reason());
+        martenford::tell(Event::JournalUnkept,
+                         "requests that must not run twice go out unjournaled: " + link_.outbox().reason());
     }
 }
 
--- a/src/ledger/writer_link.cpp
+++ b/src/ledger/writer_link.cpp
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/events.h"
 #include "core/wall_clock.h"
 
 extern char** environ;
@@ -204,20 +205,23 @@
         outbox_.acked(ack->up_to, now);
     } else if (const auto* trouble = std::get_if<Trouble>(&message)) {
         if (outbox_.health() != Outbox::Health::Troubled) troubles_.add();
-        if (!std::exchange(said_, true)) log("the journal keeps nothing now: " + trouble->what);
+        if (!std::exchange(said_, true))
+            tell(Event::JournalLost, "the journal keeps nothing now: " + trouble->what);
         outbox_.troubled(trouble->what, now);
         return changed();
     } else {
         outbox_.ready(now);
     }
-    if (outbox_.health() == Outbox::Health::Up && std::exchange(said_, false)) log("the journal works again");
+    if (outbox_.health() == Outbox::Health::Up && std::exchange(said_, false))
+        tell(Event::JournalWorks, "the journal works again");
     changed();
 }
 
 /// A line of log where that begins, none for each further start.
 void WriterLink::writer_lost(const std::string& why) {
     troubles_.add();
-    if (!std::exchange(said_, true)) log("the journal's writer is lost, and started again: " + why);
+    if (!std::exchange(said_, true))
+        tell(Event::JournalLost, "the journal's writer is lost, and started again: " + why);
     if (socket_) {
         error_code ignored;
         socket_->close(ignored);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -23,6 +23,7 @@
 #include "config/config.h"
 #include "console/console.h"
 #include "console/statsd.h"
+#include "core/events.h"
 #include "core/tally.h"
 #include "discovery/discovery.h"
 #include "handover/handover.h"
@@ -48,7 +49,7 @@
     try {
         discovery.move(read_discovery_again());
     } catch (const ConfigError& error) {
-        log("the old configuration stays: " + std::string(error.what()));
+        tell(Event::ConfigKept, "the old configuration stays: " + std::string(error.what()));
     }
 }
 
@@ -129,7 +130,7 @@
             console_.emplace(loop_, *config_.console, calls(), counters_);
             std::ostringstream where;
             where << console_->listens_at();
-            log("operators call at " + where.str());
+            tell(Event::Console, "operators call at " + where.str());
         }
         const char* directory = std::getenv("TMPDIR");
         if (directory && *directory) {
@@ -194,7 +195,7 @@
         }
         // Another process serves until this one can: what was listed when its configuration was written may
         // be long gone, so discovery is asked first, at once, since nobody else starts with it.
-        log("takes over from an earlier process");
+        tell(Event::TakesOver, "takes over from an earlier process");
         listener_ = *listener;
         may_be_late_ = true;
         discovery_.subscribe();
@@ -215,7 +216,7 @@
         where << front_.listens_at();
         // Before it is said: whoever ends the earlier process on that word finds it told that it is replaced.
         if (handover_) handover_->announce([this] { return front_.listening() ? front_.listener() : -1; });
-        log("listening on " + where.str());
+        tell(Event::Listening, "listening on " + where.str());
     }
     /// Whether it can serve: some endpoint is known, to a process that takes over by discovery's own word.
     bool knows_enough() const { return discovery_.knows_any() && (!may_be_late_ || discovery_.heard()); }
@@ -231,13 +232,13 @@
         return Calls({[this] { return is_ready(); }, [this] { return statsd(counters_); },
                       [this] {
                           if (ending_) return false;
-                          log("evacuates: an operator said so");
+                          tell(Event::Evacuates, "evacuates: an operator said so");
                           front_.evacuate();
                           return true;
                       },
                       [this] {
                           if (ending_) return false;
-                          log("serves again: an operator said so");
+                          tell(Event::Activates, "serves again: an operator said so");
                           front_.activate();
                           return true;
                       },
@@ -341,12 +342,17 @@
         each->add_flag("--json", fleet.json, "one JSON object a line");
         each->callback([&fleet, name = name] { fleet.what = name; });
     }
+    auto* events = app.add_subcommand("events", "the page of all that it may tell of itself");
     app.require_subcommand(0, 1);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
         return app.exit(error) == 0 ? 0 : martenford::kBadConfig;
     }
+    if (events->parsed()) {
+        std::cout << martenford::events_page();
+        return 0;
+    }
     if (ask_why->parsed()) return martenford::ask_why(why);
     if (ask_fleet->parsed()) return martenford::ask_fleet(fleet);
     if (ledger->parsed()) return martenford::ask_journal(ledger->remaining());
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <utility>
 
+#include "core/events.h"
 #include "framing/frame.h"
 
 namespace martenford::peers {
@@ -32,15 +33,30 @@
 constexpr std::size_t kMostShunned = 256;
 constexpr std::size_t kMostEvents = 256;  // that can be read again
 constexpr std::size_t kMostTurns = 1024;
-constexpr std::size_t kLoggedAMinute = 60;  // lines of log; the rest is counted in one
-constexpr std::size_t kMostNamed = 5;       // members by name in one line
-constexpr int kBacklog = 512;               // all of a fleet may dial one member at once
+constexpr std::size_t kMostNamed = 5;  // members by name in one line
+constexpr int kBacklog = 512;          // all of a fleet may dial one member at once
 
 /// What is no accident: whoever does so is not heard for a while.
 struct Flood : framing::FrameError {
     using FrameError::FrameError;
 };
 
+void tell_people(const fleet::Change& change, const std::string& line) {
+    using What = fleet::Change::What;
+    constexpr std::pair<What, Event> kEvents[] = {
+        {What::Joined, Event::FleetJoined},     {What::Left, Event::FleetLeft},
+        {What::Died, Event::FleetDied},         {What::LostAtOnce, Event::FleetLostAtOnce},
+        {What::Returned, Event::FleetReturned}, {What::Doubled, Event::FleetDoubled},
+        {What::Stood, Event::FleetStood},       {What::Accused, Event::FleetAccused}};
+    const Event event = std::find_if(std::begin(kEvents), std::end(kEvents), [&](const auto& e) {
+                            return e.first == change.what;
+                        })->second;
+    if (change.who.size() == 1)
+        return tell(event, line,
+                    {{"member", change.who[0].name}, {"boot", fmt::format("{:016x}", change.who[0].boot)}});
+    tell(event, line, {{"members", std::to_string(change.who.size())}, {"of", std::to_string(change.of)}});
+}
+
 std::uint64_t random_id() {
     std::random_device random;
     std::uint64_t id = 0;
@@ -306,7 +322,8 @@
     if (error) {
         // Requests are served without a fleet: this is no reason not to start.
         if (!std::exchange(said_no_listener_, true))
-            log(fmt::format("no place in the fleet: {}: {}", options_.listen, error.message()));
+            martenford::tell(Event::FleetNoPlace,
+                             fmt::format("no place in the fleet: {}: {}", options_.listen, error.message()));
         error_code ignored;
         acceptor_.close(ignored);
         return again_.set(loop_.now() + kListenAgain, [this] { listen(); });
@@ -318,7 +335,8 @@
     std::string address = text_of(at);
     if (const auto told = parse_address(options_.advertise))
         address = text_of({told->address(), told->port() == 0 || moved ? at.port() : told->port()});
-    log(fmt::format("fleet '{}': listens at {} as {}", options_.name, text_of(at), address));
+    martenford::tell(Event::FleetListens,
+                     fmt::format("fleet '{}': listens at {} as {}", options_.name, text_of(at), address));
     fleet_.emplace(options_.pace, options_.seeds,
                    fleet::Self{{name_, random_id()}, address, zone_, version_, heir_}, random_id());
     accept();
@@ -458,18 +476,7 @@
     if (!change.detail.empty()) line += fmt::format(" ({})", change.detail);
     events_.emplace_back(++last_event_, line);
     if (events_.size() > kMostEvents) events_.pop_front();
-    const Time now = loop_.now();
-    if (now >= events_from_ + 60s) {
-        if (events_unlogged_ > 0) log(fmt::format("fleet: {} more changes", events_unlogged_));
-        events_from_ = now;
-        events_logged_ = events_unlogged_ = 0;
-    }
-    if (events_logged_ < kLoggedAMinute) {
-        ++events_logged_;
-        log("fleet: " + line);
-    } else {
-        ++events_unlogged_;
-    }
+    tell_people(change, "fleet: " + line);
 }
 
 std::string Peers::members() const {
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -84,8 +84,6 @@
     };
     std::deque<Turned> turns_;
     std::uint64_t last_turn_ = 0;
-    Time events_from_{};
-    std::size_t events_logged_ = 0, events_unlogged_ = 0;
     bool pumping_ = false;
     Counter &bytes_in_, &bytes_out_, &opened_, &refused_, &dropped_, &bad_;
 };
--- a/tools/emulator/fleet.cpp
+++ b/tools/emulator/fleet.cpp
@@ -115,6 +115,7 @@
             const auto& seen = model.seen()[i];
             if (seen.subject != crash.who || seen.boot != crash.boot || seen.state != fleet::State::Dead)
                 continue;
+            if (seen.at < crash.at) continue;  // a false death of its own
             const double after = seconds(seen.at - crash.at);
             least = std::min(least, after);
             most = std::max(most, after);
