--- a/emulator/fleet_rig.cpp
+++ b/emulator/fleet_rig.cpp
@@ -40,7 +40,7 @@
 }
 
 /// What the platform tells a sidecar that is here for its fleet alone: one endpoint that nobody asks.
-std::string platform_config(const std::string& name) {
+std::string platform_config(const std::string& name, std::size_t sockets) {
     nlohmann::ordered_json klass{{"name", "look"},
                                  {"credit", 1},
                                  {"slo", 1'000'000'000},
@@ -55,7 +55,7 @@
         {"console", "127.0.0.1:0"},
         {"discovery", "127.0.0.1:9"},
         {"seed", "8c1f30d27a5be964"},
-        {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 512}}},
+        {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", sockets}}},
         {"known", {{"rev", 1}, {"all", true}, {"targets", nlohmann::ordered_json::array({target})}}},
         {"settings",
          {{"replicas_of_me", 1},
@@ -169,16 +169,15 @@
     member.last_turn = 0;
     member.stopped = member.ending = member.asking = false;
     done(index, "started");
-    member.process =
-        SidecarProcess::start(loop_, options_.program, options_.folder, fmt::format("n{}-{}", index, starts),
-                              platform_config(name.empty() ? fmt::format("n{}", index) : name), own,
-                              [this, index, starts](const std::string& line) {
-                                  Member& member = members_[index];
-                                  member.log.push_back(line);
-                                  if (member.starts != starts || !member.process) return;
-                                  if (member.process->fleet().port() != 0)
-                                      net_.up(index, member.process->fleet());
-                              });
+    member.process = SidecarProcess::start(
+        loop_, options_.program, options_.folder, fmt::format("n{}-{}", index, starts),
+        platform_config(name.empty() ? fmt::format("n{}", index) : name, options_.sockets), own,
+        [this, index, starts](const std::string& line) {
+            Member& member = members_[index];
+            member.log.push_back(line);
+            if (member.starts != starts || !member.process) return;
+            if (member.process->fleet().port() != 0) net_.up(index, member.process->fleet());
+        });
 }
 
 void FleetRig::start_all() {
--- a/emulator/fleet_rig.h
+++ b/emulator/fleet_rig.h
@@ -26,8 +26,9 @@
         std::size_t members = 5;
         std::size_t seeds = 2;  ///< members that all know from the start
         std::uint64_t seed = 1;
-        std::string fleet;   ///< more fields of [fleet], as TOML
-        std::string folder;  ///< for the files of processes
+        std::string fleet;          ///< more fields of [fleet], as TOML
+        std::string folder;         ///< for the files of processes
+        std::size_t sockets = 512;  ///< told to each as its limit
     };
     /// One that a member knows, as its console says.
     struct Believed {
@@ -64,6 +65,8 @@
     bool await(const std::function<bool()>& so, Duration most);
     void run_for(Duration time);
 
+    /// Where clients reach it.
+    const Address& address(std::size_t member) const { return members_[member].process->address(); }
     bool is_up(std::size_t member) const { return members_[member].process != nullptr; }
     const std::vector<Believed>& beliefs(std::size_t member) const { return members_[member].beliefs; }
     /// How many it holds to be in this state; itself among the alive.
--- a/tests/peers/fleet_process_test.cpp
+++ b/tests/peers/fleet_process_test.cpp
@@ -43,8 +43,9 @@
 
 class FleetOf {
   public:
-    explicit FleetOf(std::size_t members, std::uint64_t seed = 1, const std::string& fields = {})
-        : rig(loop, {MARTENFORD, members, 2, seed, fields, folder.path()}) {}
+    explicit FleetOf(std::size_t members, std::uint64_t seed = 1, const std::string& fields = {},
+                     std::size_t sockets = 512)
+        : rig(loop, {MARTENFORD, members, 2, seed, fields, folder.path(), sockets}) {}
     ~FleetOf() {
         EXPECT_EQ(rig.crashed(), std::nullopt) << "a process ended by itself";
         if (testing::Test::HasFailure()) {
@@ -338,6 +339,23 @@
     EXPECT_EQ(joined(false_deaths(fleet.rig.history(), 0s, 0s)), "");
 }
 
+TEST(FleetProcesses, ClientsThatTakeEveryPlaceTakeNoneOfTheLinks) {
+    FleetOf fleet(6, 1, "links = 8\n", 96);
+    fleet.settle();
+    // Many more than it has descriptors; it serves whom it can, and its links have their own.
+    asio::io_context io;
+    std::vector<asio::ip::tcp::socket> clients;
+    for (int i = 0; i < 300; ++i) {
+        boost::system::error_code error;
+        clients.emplace_back(io).connect(fleet.rig.address(0), error);
+        const std::string half = "GET /look/1 HTTP/1.1\r\n";
+        if (!error) clients.back().write_some(asio::buffer(half), error);
+    }
+    fleet.rig.kill(3);
+    ASSERT_TRUE(fleet.agrees());
+    EXPECT_EQ(joined(false_deaths(fleet.rig.history(), 0s, 0s)), "");
+}
+
 /// Faults of every kind from one seed on real processes; then quiet, and all of one mind.
 class FleetSchedules : public testing::TestWithParam<std::uint64_t> {};
 
