Whole lists are given at a bounded rate also to those that answer with one

Need: who sends an empty list that wants one back could have list after list made, 2,000 a second. Change: one bound for both ways.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -265,18 +265,12 @@
                 agreed.kind = Message::Kind::Entries;
                 send(address, from, std::move(agreed));
             } else {
-                while (!entries_sent_.empty() && entries_sent_.front() + 1s <= now) entries_sent_.pop_front();
-                if (entries_sent_.size() >= kEntriesASecond) {
-                    ++figures_.ignored;
-                    break;
-                }
-                entries_sent_.push_back(now);
-                send_entries(address, from, true);
+                send_entries(now, address, from, true);
             }
             break;
         case Message::Kind::Entries:
             joined_ = true;
-            if (message.want) send_entries(address, from, false);
+            if (message.want) send_entries(now, address, from, false);
             break;
     }
     // Whoever is not known, or is held to be gone, is told how it stands; it answers by what it is.
@@ -825,7 +819,14 @@
     send(seed, {}, std::move(ask));
 }
 
-void Fleet::send_entries(const std::string& address, const Id& to, bool want) {
+void Fleet::send_entries(Time now, const std::string& address, const Id& to, bool want) {
+    // Guards against one that asks for list after list, and against all of a fleet that starts.
+    while (!entries_sent_.empty() && entries_sent_.front() + 1s <= now) entries_sent_.pop_front();
+    if (entries_sent_.size() >= kEntriesASecond) {
+        ++figures_.ignored;
+        return;
+    }
+    entries_sent_.push_back(now);
     std::vector<Claim> all{own_claim()};
     for (const auto& [id, member] : members_) {
         if (id != to || member.claim.state != State::Alive) all.push_back(member.claim);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -171,7 +171,7 @@
     void acknowledged(Time now, const Id& from, const Message& message);
     void gossip(Time now);
     void compare(Time now);
-    void send_entries(const std::string& address, const Id& to, bool want);
+    void send_entries(Time now, const std::string& address, const Id& to, bool want);
     void reconnect(Time now);
     void take(Time now, const Claim& claim);
     void take_of_self(Time now, const Claim& claim);
