The two halves of an upgrade are no pair, played; plays get no TMPDIR of ours

Need: an heir by handover and its elder are lawful under one name, and that was not played; a TMPDIR in the environment would have had sidecars of plays side by side hand over to each other. Change: SidecarProcess gives a TMPDIR only where one is named.

--- a/emulator/fleet_rig.cpp
+++ b/emulator/fleet_rig.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -169,15 +170,22 @@
     member.last_turn = 0;
     member.stopped = member.ending = member.asking = false;
     done(index, "started");
+    const std::string called = name.empty() ? fmt::format("n{}", index) : name;
+    std::string directory;
+    if (options_.directories) {
+        directory = options_.folder + "/of-" + called;
+        std::filesystem::create_directories(directory);
+    }
     member.process = SidecarProcess::start(
         loop_, options_.program, options_.folder, fmt::format("n{}-{}", index, starts),
-        platform_config(name.empty() ? fmt::format("n{}", index) : name, options_.sockets), own,
+        platform_config(called, options_.sockets), own,
         [this, index, starts](const std::string& line) {
             Member& member = members_[index];
             member.log.push_back(line);
             if (member.starts != starts || !member.process) return;
             if (member.process->fleet().port() != 0) net_.up(index, member.process->fleet());
-        });
+        },
+        directory);
 }
 
 void FleetRig::start_all() {
--- a/emulator/sidecar_process.cpp
+++ b/emulator/sidecar_process.cpp
@@ -29,15 +29,19 @@
 }
 
 /// This process's variables, with what a sidecar reads replaced by the one path.
-std::vector<std::string> variables(const std::string& config_path, const std::string& own_path) {
+std::vector<std::string> variables(const std::string& config_path, const std::string& own_path,
+                                   const std::string& directory) {
     std::vector<std::string> result;
     for (char** entry = environ; *entry; ++entry) {
         const std::string variable = *entry;
-        if (!variable.starts_with("PROXY_") && !variable.starts_with("MARTENFORD_"))
+        // Without the TMPDIR of this process: plays side by side have sidecars of one name.
+        if (!variable.starts_with("PROXY_") && !variable.starts_with("MARTENFORD_") &&
+            !variable.starts_with("TMPDIR="))
             result.push_back(variable);
     }
     result.push_back("PROXY_CONFIG=" + config_path);
     if (!own_path.empty()) result.push_back("MARTENFORD_CONFIG=" + own_path);
+    if (!directory.empty()) result.push_back("TMPDIR=" + directory);
     return result;
 }
 
@@ -49,7 +53,7 @@
 std::shared_ptr<SidecarProcess> SidecarProcess::start(Loop& loop, const std::string& program,
                                                       const std::string& folder, const std::string& name,
                                                       const std::string& config, const std::string& own,
-                                                      Line line) {
+                                                      Line line, const std::string& directory) {
     const auto self = std::make_shared<SidecarProcess>(loop, folder + "/" + name + ".json", std::move(line));
     write_whole(self->config_path_, config);
     if (!own.empty()) {
@@ -67,7 +71,7 @@
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::string path = program;
     char* arguments[] = {path.data(), nullptr};
-    std::vector<std::string> texts = variables(self->config_path_, self->own_path_);
+    std::vector<std::string> texts = variables(self->config_path_, self->own_path_, directory);
     std::vector<char*> environment;
     for (std::string& text : texts) environment.push_back(text.data());
     environment.push_back(nullptr);
--- a/emulator/sidecar_process.h
+++ b/emulator/sidecar_process.h
@@ -19,11 +19,13 @@
     using Line = std::function<void(const std::string&)>;
 
     /// Starts `program` with this configuration in a file under `folder`, and with one of its own where `own`
-    /// is not empty; `line` gets each line of its log. Throws std::runtime_error where that fails.
+    /// is not empty; `line` gets each line of its log. `directory`: its TMPDIR, where it finds an earlier
+    /// process of its name and hands over to a later one; empty: it has none. Throws std::runtime_error where
+    /// that fails.
     static std::shared_ptr<SidecarProcess> start(Loop& loop, const std::string& program,
                                                  const std::string& folder, const std::string& name,
-                                                 const std::string& config, const std::string& own,
-                                                 Line line);
+                                                 const std::string& config, const std::string& own, Line line,
+                                                 const std::string& directory = {});
     SidecarProcess(Loop& loop, std::string config_path, Line line);
     ~SidecarProcess();
     SidecarProcess(const SidecarProcess&) = delete;
--- a/tests/peers/fleet_process_test.cpp
+++ b/tests/peers/fleet_process_test.cpp
@@ -44,8 +44,8 @@
 class FleetOf {
   public:
     explicit FleetOf(std::size_t members, std::uint64_t seed = 1, const std::string& fields = {},
-                     std::size_t sockets = 512)
-        : rig(loop, {MARTENFORD, members, 2, seed, fields, folder.path(), sockets}) {}
+                     std::size_t sockets = 512, bool directories = false)
+        : rig(loop, {MARTENFORD, members, 2, seed, fields, folder.path(), directories, sockets}) {}
     ~FleetOf() {
         EXPECT_EQ(rig.crashed(), std::nullopt) << "a process ended by itself";
         if (testing::Test::HasFailure()) {
@@ -289,6 +289,19 @@
         kPatience));
 }
 
+TEST(FleetProcesses, TheTwoHalvesOfAnUpgradeAreNoPair) {
+    FleetOf fleet(5, 1, "", 512, true);
+    for (std::size_t i = 0; i < 4; ++i) fleet.rig.start(i);
+    ASSERT_TRUE(fleet.agrees());
+    fleet.rig.start(4, "n2");
+    ASSERT_TRUE(fleet.all_told({4}, "takes over from an earlier process"));
+    ASSERT_TRUE(fleet.agrees());  // five processes, two of them of one name
+    fleet.rig.run_for(3s);
+    EXPECT_TRUE(fleet.nobody_told("doubled"));
+    fleet.rig.end(2);
+    EXPECT_TRUE(fleet.agrees());
+}
+
 TEST(FleetProcesses, FloodsForeignersAndNoiseEndTheirOwnLinksOnly) {
     FleetOf fleet(4);
     fleet.settle();
