Whoever wakes from a stall asks two at once, and can judge again a round trip later

Cause: after a stall a member accuses nobody until two have answered, and asked one in each stretched period: some seconds in which it took no death from others either. Change: two are asked when it wakes.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -191,7 +191,11 @@
     heard_since_.clear();
     stalled_ms_ = static_cast<std::uint32_t>(std::min<std::int64_t>(late / 1ms, 3'600'000));
     stalled_until_shown_ = now + kStallShown;
-    probe_at_ = now;  // the sooner it hears, the sooner it can judge
+    // The sooner it hears, the sooner it can judge.
+    probe_at_ = now;
+    if (!leaving_) {
+        for (Member* member : some(kWitnesses, nullptr, true)) probe(now, *member);
+    }
     due_ = now;
     change(Change::What::Stood, now, {self_.id}, std::to_string(stalled_ms_) + " ms");
 }
