The longest message goes into one frame; names that can't be said are told at once

Cause, found by reading: 200 claims with all names at their 64 bytes come to some 70 KiB, over the 64 KiB of a frame; making that frame throws, from a timer and so out of the loop: made-up names of a peer could have ended the process. A sidecar whose own name or zone has a blank would have had its links closed by all. Change: 150 claims a message; the name is checked where [fleet] is on, such a zone is left out.

--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -13,10 +13,7 @@
 
 /// Names go into logs and answers to operators: printable, and of bounded length.
 const std::string& checked(const std::string& text, bool needed = false) {
-    const auto printable = [](char c) { return c > ' ' && c <= '~'; };
-    if (text.size() > kMostName || (needed && text.empty()) ||
-        !std::all_of(text.begin(), text.end(), printable))
-        throw FrameError("a name of a member can't be used");
+    if (!may_be_said(text) || (needed && text.empty())) throw FrameError("a name of a member can't be used");
     return text;
 }
 
@@ -107,6 +104,11 @@
     return message;
 }
 
+bool may_be_said(std::string_view text) {
+    const auto printable = [](char c) { return c > ' ' && c <= '~'; };
+    return text.size() <= kMostName && std::all_of(text.begin(), text.end(), printable);
+}
+
 const char* name_of(State state) {
     constexpr const char* kNames[] = {"alive", "suspect", "left", "dead"};
     return kNames[static_cast<std::size_t>(state)];
--- a/src/fleet/wire.h
+++ b/src/fleet/wire.h
@@ -14,7 +14,7 @@
 /// Wire versions spoken. A link speaks the newest that both ends know.
 constexpr std::uint32_t kOldestWire = 1, kNewestWire = 1;
 constexpr std::size_t kMostName = 64;     ///< bytes of a name, an address, a zone or a version
-constexpr std::size_t kMostClaims = 200;  ///< in one message: some 20 KiB, a third of a frame
+constexpr std::size_t kMostClaims = 150;  ///< in one message: within a frame though all names are longest
 /// Refutations are counted from 0, one at most for each suspicion: what is above this was made up.
 constexpr std::uint64_t kMostIncarnation = std::uint64_t{1} << 48;
 
@@ -81,6 +81,8 @@
 /// Of a frame's message. Throws framing::FrameError where it is none, or is over a bound above.
 Said read_said(std::string_view bytes);
 
+/// Whether it may stand in a message: printable, without blanks, within kMostName.
+bool may_be_said(std::string_view text);
 const char* name_of(State state);
 const char* name_of(Evidence evidence);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -167,6 +167,9 @@
     /// Descriptors that neither clients nor endpoints get; those of the fleet's links among them.
     static std::size_t set_aside(const Features& features, const Config& config) {
         std::size_t spare = kSpareSockets;
+        if (features.fleet && (config.name.empty() || !fleet::may_be_said(config.name)))
+            throw ConfigError(config.name +
+                              ": field 'name' can't be a member's of [fleet]: 1 to 64 bytes, no blanks");
         if (features.fleet) spare += features.fleet->most_links + peers::Peers::kOtherSockets;
         if (spare + kLeastForRequests > config.sockets)
             throw ConfigError(config.name + ": field 'limits.sockets' leaves no room beside [fleet]'s links");
@@ -174,7 +177,9 @@
     }
     static std::string zone_of(const Config& config) {
         const auto& zones = config.names.zones;
-        return config.settings.zone < zones.size() ? zones[config.settings.zone] : std::string();
+        const bool named =
+            config.settings.zone < zones.size() && fleet::may_be_said(zones[config.settings.zone]);
+        return named ? zones[config.settings.zone] : std::string();
     }
     Placement& placement() { return journal_ ? static_cast<Placement&>(journal_->recorder) : back_; }
 
--- a/tests/fleet/wire_test.cpp
+++ b/tests/fleet/wire_test.cpp
@@ -126,6 +126,14 @@
     claim.id.name = "n";
     message.claims.assign(kMostClaims + 1, claim);
     EXPECT_THROW(read_back(frame_of(message)), framing::FrameError);
+    // The longest message there is goes into one frame: nothing of the network may end the program.
+    const std::string longest(kMostName, 'n');
+    claim.id = {longest, ~std::uint64_t{0}};
+    claim.address = claim.zone = claim.version = claim.by = longest;
+    claim.incarnation = kMostIncarnation;
+    claim.heir = true;
+    message.to = claim.id;
+    message.address = longest;
     message.claims.assign(kMostClaims, claim);
     EXPECT_NO_THROW(read_back(frame_of(message)));
 }
