300 processes settle through relays: news over standing links, refusal is a sign of life

Cause, by a trace of each second's dials, refusals and evictions in 300 processes: the rig's own look at whether all agree was cubic in the members and its polls came in one burst, so that its one loop relayed nothing for over a second just when the fleet had settled. That started it; what kept it going was the protocol: each round of gossip dialled (5,000 links a second in all, of 3.7 frames each), a link refused or evicted for want of room counted as silence, the silence was asked about over three more links.

Changed: gossip goes over links that stand, a probe that finds no room is void, whoever has no room says Hello and Bye (a sign of life), a Bye answers the probe that it cut off, the second of two links is used when the first ends. The rig polls one member after the other, reads only what it needs and looks in linear time.

--- a/emulator/fleet_model.cpp
+++ b/emulator/fleet_model.cpp
@@ -107,7 +107,11 @@
     const auto it = std::find(links.begin(), links.end(), b);
     if (it != links.end()) links.erase(it);
     links.push_back(b);
-    if (links.size() > options_.links) links.pop_front();
+    fleet::Fleet& fleet = *members_[a]->fleet;
+    if (members_[b]->up) fleet.linked(members_[b]->fleet->self().id, true);
+    if (links.size() <= options_.links) return;
+    fleet.linked(members_[links.front()]->fleet->self().id, false);
+    links.pop_front();
 }
 
 void FleetModel::carry(std::size_t from, Fleet::Send&& send) {
@@ -162,8 +166,9 @@
         const auto& links = members_[i]->links;
         if (!members_[i]->up || std::find(links.begin(), links.end(), index) == links.end()) continue;
         if (cuts_.contains({index, i})) continue;
-        add(now_ + delay(), i, [this, i, index] {
+        add(now_ + delay(), i, [this, i, index, id = members_[index]->fleet->self().id] {
             if (!members_[i]->up) return;
+            members_[i]->fleet->linked(id, false);
             members_[i]->fleet->link_ended(now_, address_of(index));
             pump(i);
         });
--- a/emulator/fleet_rig.cpp
+++ b/emulator/fleet_rig.cpp
@@ -19,25 +19,43 @@
 namespace {
 
 constexpr Duration kPollEvery = 150ms,
-                   kPollEach = 3ms;   // the second for each member: the rig has one core, too
+                   kPollEach = 5ms;   // the second for each member: the rig has one core, too
 constexpr Duration kAnswerTime = 2s;  // for a call of the console: a stopped process does not answer
 constexpr Duration kLook = 25ms;
 
 using Fields = std::map<std::string, std::string>;
 
-std::vector<Fields> lines_of(const std::string& reply) {
-    std::vector<Fields> result;
-    std::istringstream lines(reply);
-    for (std::string line; std::getline(lines, line);) {
-        Fields fields;
-        std::istringstream words(line);
-        for (std::string word; words >> word;) {
-            if (const auto equals = word.find('='); equals != word.npos)
-                fields[word.substr(0, equals)] = word.substr(equals + 1);
-        }
-        if (!fields.empty()) result.push_back(std::move(fields));
+Fields fields_of(std::string_view line) {
+    Fields fields;
+    while (!line.empty()) {
+        const auto end = std::min(line.find(' '), line.size());
+        const auto word = line.substr(0, end);
+        if (const auto equals = word.find('='); equals != word.npos)
+            fields.emplace(word.substr(0, equals), word.substr(equals + 1));
+        line.remove_prefix(std::min(end + 1, line.size()));
     }
-    return result;
+    return fields;
+}
+
+template <class What>
+void each_line(std::string_view reply, What&& what) {
+    while (!reply.empty()) {
+        const auto end = std::min(reply.find('\n'), reply.size());
+        what(reply.substr(0, end));
+        reply.remove_prefix(std::min(end + 1, reply.size()));
+    }
+}
+
+/// One field without the others: 300 members tell of 300 each, and whoever reads them relays between them,
+/// too.
+std::string_view field_of(std::string_view line, std::string_view name) {
+    for (auto at = line.find(name); at != line.npos; at = line.find(name, at + 1)) {
+        const auto equals = at + name.size();
+        if ((at != 0 && line[at - 1] != ' ') || equals >= line.size() || line[equals] != '=') continue;
+        const auto rest = line.substr(equals + 1);
+        return rest.substr(0, rest.find(' '));
+    }
+    return {};
 }
 
 /// What the platform tells a sidecar that is here for its fleet alone: one endpoint that nobody asks.
@@ -166,6 +184,7 @@
                     RelayNet::host_of(index), net_.advertised(index), seeds, options_.fleet);
     member.boot.clear();
     member.beliefs.clear();
+    member.alive.clear();
     member.own.clear();
     member.last_turn = 0;
     member.stopped = member.ending = member.asking = false;
@@ -249,19 +268,18 @@
     await([] { return false; }, time);
 }
 
+/// One member after the other: answers that come all at once would hold up what is relayed.
 void FleetRig::poll() {
-    for (std::size_t i = 0; i < members_.size(); ++i) {
-        Member& member = members_[i];
-        if (member.process && member.ending && member.process->ended()) {
-            net_.down(i);
-            ended_.push_back(std::move(member.process));
-            member.process.reset();
-        }
-        if (member.process && !member.stopped && !member.asking && member.process->console().port() != 0)
-            ask(i);
+    const auto each = std::max(kPollEach, kPollEvery / static_cast<int>(members_.size()));
+    poll_.set(loop_.now() + each, [this] { poll(); });
+    const std::size_t i = polled_++ % members_.size();
+    Member& member = members_[i];
+    if (member.process && member.ending && member.process->ended()) {
+        net_.down(i);
+        ended_.push_back(std::move(member.process));
+        member.process.reset();
     }
-    poll_.set(loop_.now() + std::max(kPollEvery, kPollEach * static_cast<int>(members_.size())),
-              [this] { poll(); });
+    if (member.process && !member.stopped && !member.asking && member.process->console().port() != 0) ask(i);
 }
 
 void FleetRig::ask(std::size_t index) {
@@ -295,27 +313,31 @@
 void FleetRig::take_members(std::size_t index, const std::string& reply) {
     Member& member = members_[index];
     member.beliefs.clear();
-    for (Fields& fields : lines_of(reply)) {
-        if (!fields.contains("name")) continue;
-        member.beliefs.push_back(
-            {fields["name"], fields["boot"], fields["state"], fields.contains("doubled")});
-        if (fields.contains("self")) {
-            member.boot = fields["boot"];
-            by_boot_[member.boot] = index;
-            member.own = std::move(fields);
-        }
-    }
+    member.alive.clear();
+    each_line(reply, [&](std::string_view line) {
+        const std::string name(field_of(line, "name"));
+        if (name.empty()) return;
+        member.beliefs.push_back({name, std::string(field_of(line, "boot")),
+                                  std::string(field_of(line, "state")), !field_of(line, "doubled").empty()});
+        const Believed& believed = member.beliefs.back();
+        if (believed.state == "alive") member.alive.insert(believed.boot);
+        if (field_of(line, "self").empty()) return;
+        member.boot = believed.boot;
+        by_boot_[member.boot] = index;
+        member.own = fields_of(line);
+    });
 }
 
 void FleetRig::take_turns(std::size_t index, const std::string& reply) {
-    for (Fields& fields : lines_of(reply)) {
-        if (!fields.contains("number")) continue;
+    each_line(reply, [&](std::string_view line) {
+        Fields fields = fields_of(line);
+        if (!fields.contains("number")) return;
         members_[index].last_turn = std::stoull(fields["number"]);
         std::size_t subject = members_.size();
         if (fields["name"].starts_with("n")) subject = std::stoul(fields["name"].substr(1));
         history_.push_back({Time{Duration{std::stoll(fields["at_ns"])}}, index, subject, fields["boot"],
                             fields["state"], false});
-    }
+    });
 }
 
 std::size_t FleetRig::holds(std::size_t index, const std::string& state) const {
@@ -332,21 +354,19 @@
 }
 
 bool FleetRig::all_agree() const {
-    std::size_t up = 0;
+    std::set<std::string> up;
     for (const Member& member : members_) {
         if (!member.process) continue;
         if (member.boot.empty() || member.ending) return false;
-        ++up;
-    }
-    for (std::size_t a = 0; a < members_.size(); ++a) {
-        if (!members_[a].process) continue;
-        if (holds(a, "alive") != up) return false;
-        if (holds(a, "suspect") + holds(a, "stalled") + holds(a, "unreachable") > 0) return false;
-        for (std::size_t b = 0; b < members_.size(); ++b) {
-            if (members_[b].process && holds_of(a, b) != "alive") return false;
-        }
+        up.insert(member.boot);
     }
-    return true;
+    return std::all_of(members_.begin(), members_.end(), [&](const Member& member) {
+        if (!member.process) return true;
+        const auto unsure = [](const Believed& b) {
+            return b.state != "alive" && b.state != "dead" && b.state != "left";
+        };
+        return member.alive == up && std::none_of(member.beliefs.begin(), member.beliefs.end(), unsure);
+    });
 }
 
 double FleetRig::own(std::size_t member, const std::string& field) const {
--- a/emulator/fleet_rig.h
+++ b/emulator/fleet_rig.h
@@ -95,6 +95,7 @@
         std::string boot;
         bool stopped = false, ending = false, asking = false;
         std::vector<Believed> beliefs;
+        std::set<std::string> alive;  ///< boots of those
         std::map<std::string, std::string> own;
         std::uint64_t last_turn = 0;
         std::vector<std::string> log;
@@ -114,6 +115,7 @@
     std::map<std::string, std::size_t> by_boot_;
     std::vector<Entry> history_;
     Timer poll_;
+    std::size_t polled_ = 0;
 };
 
 }  // namespace martenford::emulator
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -337,6 +337,38 @@
     due_ = std::max(now, next());
 }
 
+/// Guards against a fleet in which each has room for few links and much to ask: a link that gives way to
+/// another, or is refused, would be one more silence to ask others about, over more links.
+void Fleet::parted(Time now, const Id& id) {
+    if (!started_) return;
+    if (due_ != Time{} && now > due_ + kLate) stood(now, now - due_);
+    const auto asked = std::erase_if(probes_, [&](const auto& entry) { return entry.second.target == id; });
+    if (asked > 0) {
+        heard_from(now, id);
+        answered(now, id, true, 0);
+    }
+    for (auto it = errands_.begin(); it != errands_.end();) {
+        if (it->second.about != id) {
+            ++it;
+            continue;
+        }
+        Message ack;
+        ack.kind = Message::Kind::Ack;
+        ack.seq = it->second.seq;
+        ack.to = id;
+        send(it->second.address, it->second.to, std::move(ack));
+        it = errands_.erase(it);
+    }
+    due_ = std::max(now, next());
+}
+
+void Fleet::unsent(Time now, const Message& message) {
+    if (message.kind != Message::Kind::Ping) return;
+    probes_.erase(message.seq);
+    errands_.erase(message.seq);
+    due_ = std::max(now, next());
+}
+
 void Fleet::found_at(Time now, const std::string& address, const Id& id) {
     if (!started_) return;
     const auto there = by_address_.find(address);
@@ -464,15 +496,20 @@
     if (it == probes_.end()) return;
     const bool direct = it->second.target == from;
     if (!direct && message.to != it->second.target) return;
-    const auto target = members_.find(it->second.target);
+    const Id target = it->second.target;
     probes_.erase(it);
     if (health_ > 0) --health_;
     heard_from(now, from);
-    if (target == members_.end()) return;
-    Member& member = target->second;
+    answered(now, target, direct, message.stalled_ms);
+}
+
+void Fleet::answered(Time now, const Id& target, bool direct, std::uint32_t stalled_ms) {
+    const auto it = members_.find(target);
+    if (it == members_.end()) return;
+    Member& member = it->second;
     member.answered = now;
     heard(now, member);
-    member.stalled_ms = message.stalled_ms;
+    member.stalled_ms = stalled_ms;
     const bool was_unreachable = member.indirect >= kIndirect;
     member.indirect = direct ? 0 : member.indirect + 1;
     if (member.claim.state == State::Alive && was_unreachable != (member.indirect >= kIndirect))
@@ -780,7 +817,9 @@
 
 void Fleet::gossip(Time) {
     if (rumours_.empty()) return;
-    for (Member* member : some(pace_.gossip_to, nullptr)) {
+    // What is told over links that stand still reaches all: whom a probe comes to is a matter of chance, it
+    // carries news too, and its link stays.
+    for (Member* member : nearest(pace_.gossip_to)) {
         if (rumours_.empty()) return;
         Message news;
         news.kind = Message::Kind::News;
@@ -958,6 +997,37 @@
     return result;
 }
 
+void Fleet::linked(const Id& id, bool stands) {
+    if (stands) {
+        linked_.insert(id);
+    } else {
+        linked_.erase(id);
+    }
+}
+
+std::vector<Fleet::Member*> Fleet::nearest(std::size_t count) {
+    std::vector<Member*> result;
+    for (const Id& id : linked_) {
+        const auto it = members_.find(id);
+        if (it != members_.end() && it->second.place != kNowhere) result.push_back(&it->second);
+    }
+    for (std::size_t i = 0; i < std::min(count, result.size()); ++i)
+        std::swap(result[i], result[i + draw(result.size() - i)]);
+    if (result.size() > count) result.resize(count);
+    if (result.size() == count) return result;
+    for (Member* member : some(count, nullptr)) {
+        if (result.size() >= count) break;
+        if (std::find(result.begin(), result.end(), member) == result.end()) result.push_back(member);
+    }
+    return result;
+}
+
+std::vector<Fleet::Place> Fleet::near(std::size_t count) {
+    std::vector<Place> result;
+    for (const Member* member : nearest(count)) result.push_back({member->claim.id, member->claim.address});
+    return result;
+}
+
 void Fleet::worse(int by) {
     if (!pace_.own_health) return;
     health_ = std::clamp(health_ + by, 0, kWorstHealth);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -106,9 +106,23 @@
     void no_link(Time now, const std::string& address, Evidence evidence);
     /// One that stood has ended, and nobody had said that it would: whoever is there is asked at once.
     void link_ended(Time now, const std::string& address);
+    /// This one said that it ends the link, or that it has no room for one: it lives, and what was on the way
+    /// to it may be lost.
+    void parted(Time now, const Id& id);
+    /// There was no room for a link, and this message never left: its silence says nothing of anybody.
+    void unsent(Time now, const Message& message);
     /// This one answered where this address was called: an address has one listener, so whoever was known
     /// there before has gone.
     void found_at(Time now, const std::string& address, const Id& id);
+    /// A connection with it stands, or no longer does. Who is told of news is chosen among these first: on
+    /// links that come up for one message each, a fleet with much to say spends itself on dialling.
+    void linked(const Id& id, bool stands);
+    /// Up to so many live others, by chance, those with a link first.
+    struct Place {
+        Id id;
+        std::string address;
+    };
+    std::vector<Place> near(std::size_t count);
     /// Says so to some, and to the rest through them; nothing is probed from here on.
     void leave(Time now);
 
@@ -184,6 +198,7 @@
     void forget(Time now);
     void settle_losses(Time now);
     void heard_from(Time now, const Id& from);
+    void answered(Time now, const Id& target, bool direct, std::uint32_t stalled_ms);
     void change(Change::What what, Time now, std::vector<Id> who, std::string detail = {},
                 std::size_t of = 0);
     Claim own_claim(State state = State::Alive) const;
@@ -192,6 +207,7 @@
     std::size_t times_told() const;
     std::uint64_t draw(std::uint64_t below) { return below ? random_() % below : 0; }
     std::vector<Member*> some(std::size_t count, const Id* but, bool heard = false);
+    std::vector<Member*> nearest(std::size_t count);
     std::vector<Member*> helpers(Time now, const Id& but);
     void heard(Time now, Member& member);
     void look_round(Time now);
@@ -224,6 +240,7 @@
     std::optional<Time> distrust_since_;
     std::set<Id> heard_since_;
     std::deque<Id> recent_;  ///< heard last, the latest last
+    std::set<Id> linked_;
     std::size_t join_tries_ = 0;
     std::deque<Time> entries_sent_;
 
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -196,6 +196,8 @@
                     used_ = peers_.loop_.now();
                     if (message.kind == Message::Kind::Bye) {
                         parted_ = true;
+                        peers_.fleet_->parted(peers_.loop_.now(), id_);
+                        peers_.pump();
                     } else {
                         peers_.arrived(*this, message);
                     }
@@ -364,8 +366,11 @@
         const Address from = socket.remote_endpoint(bad);
         const Time now = loop_.now();
         std::erase_if(shunned_, [&](const auto& entry) { return entry.second <= now; });
-        if (bad || !permitted(from) || shunned_.contains(from.address()) || !make_room()) {
+        if (bad || !permitted(from) || shunned_.contains(from.address())) {
             refused_.add();
+        } else if (!make_room()) {
+            refused_.add();
+            turn_away(socket);
         } else {
             const auto link = std::make_shared<Link>(*this, std::move(socket), false);
             links_.push_back(link);
@@ -375,6 +380,20 @@
     });
 }
 
+/// Whoever finds no room is told that somebody is here: as far as the socket takes it, nothing waits for it.
+void Peers::turn_away(asio::ip::tcp::socket& socket) {
+    const fleet::Self& self = fleet_->self();
+    Message bye;
+    bye.kind = Message::Kind::Bye;
+    const std::string frames =
+        fleet::frame_of(fleet::Hello{options_.name, self.id, self.address, self.version}) +
+        fleet::frame_of(bye);
+    error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.write_some(asio::buffer(frames), ignored);
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 /// The link that was idle longest makes room; one that has not come up yet does not.
 bool Peers::make_room() {
     if (links_.size() < options_.most_links) return true;
@@ -417,8 +436,25 @@
         link->bye();
         link.reset();
     }
-    if (!link || link->phase() == Link::Phase::Ended || link->parted()) link = dial(send.address);
-    if (link) link->put(send.message);
+    if (!link || link->phase() == Link::Phase::Ended || link->parted()) {
+        link = standing(send.address);
+        if (!link) link = dial(send.address);
+    }
+    if (link) {
+        link->put(send.message);
+    } else {
+        fleet_->unsent(loop_.now(), send.message);
+    }
+}
+
+/// Two that dialled each other at once have two links; when one ends the other is as good.
+std::shared_ptr<Peers::Link> Peers::standing(const std::string& address) {
+    for (const auto& link : links_) {
+        if (link->phase() != Link::Phase::Up || link->parted() || link->address() != address) continue;
+        by_address_[address] = link;
+        return link;
+    }
+    return nullptr;
 }
 
 std::shared_ptr<Peers::Link> Peers::dial(const std::string& address) {
@@ -433,6 +469,7 @@
 }
 
 void Peers::greeted(Link& link) {
+    fleet_->linked(link.id(), true);
     if (link.outbound()) {
         fleet_->found_at(loop_.now(), link.address(), link.id());
     } else {
@@ -454,6 +491,13 @@
     const auto it = by_address_.find(link.address());
     const bool written_to = it != by_address_.end() && it->second.lock() == self;
     if (written_to) by_address_.erase(it);
+    if (fleet_ && link.ended_in() == Link::Phase::Up) {
+        // Two may dial each other at once: the other link stands.
+        const bool other = std::any_of(links_.begin(), links_.end(), [&](const auto& each) {
+            return each->phase() == Link::Phase::Up && each->id() == link.id();
+        });
+        if (!other) fleet_->linked(link.id(), false);
+    }
     if (!fleet_ || link.parted() || link.address().empty()) return;
     if (link.ended_in() == Link::Phase::Up) {
         fleet_->link_ended(loop_.now(), link.address());
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -52,6 +52,8 @@
     void pump();
     void send(fleet::Fleet::Send&& send);
     std::shared_ptr<Link> dial(const std::string& address);
+    std::shared_ptr<Link> standing(const std::string& address);
+    void turn_away(asio::ip::tcp::socket& socket);
     bool make_room();
     void greeted(Link& link);
     void arrived(Link& link, const fleet::Message& message);
--- a/tests/peers/fleet_process_test.cpp
+++ b/tests/peers/fleet_process_test.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <random>
 #include <string>
+#include <thread>
 
 #include "emulator/fleet_checker.h"
 #include "emulator/fleet_rig.h"
@@ -157,6 +158,17 @@
     }
 }
 
+TEST(FleetProcesses, ANetworkThatStoodStillDoesNotLeaveAFleetOfFewLinksInAStorm) {
+    FleetOf fleet(24, 1, "links = 5\n");
+    fleet.settle();
+    // All links at once, for longer than any patience: each is refused, evicted or dialled anew by all.
+    const Time until = fleet.loop.now() + 1500ms;
+    while (fleet.loop.now() < until) std::this_thread::sleep_for(50ms);
+    fleet.rig.run_for(3s);
+    EXPECT_TRUE(fleet.agrees());
+    EXPECT_EQ(joined(false_deaths(fleet.rig.history(), 0s, 0s)), "");
+}
+
 TEST(FleetProcesses, OneLinkThatIsDownIsUnreachableAndNotDead) {
     FleetOf fleet(6);
     fleet.settle();
