[state]: sidecars share overrides, settings, fences and drains; martenford state

src/replica/keeper on the fleet's links, src/replica/guidance for what the tables say of endpoints, membership takes it between discovery and the module: it takes away and never adds, others' drains count from two witnesses on, for at most half of the ready, until the own discovery has told as new a list. martenford state tables|get|put|delete|settle|conflicts|history|diff|self.

--- a/emulator/fleet_rig.cpp
+++ b/emulator/fleet_rig.cpp
@@ -340,6 +340,18 @@
     });
 }
 
+std::optional<std::string> FleetRig::call(std::size_t index, const std::string& line) {
+    if (!members_[index].process || members_[index].process->console().port() == 0) return std::nullopt;
+    // Whoever asked may no longer wait when an answer comes.
+    const auto answer = std::make_shared<std::pair<bool, std::optional<std::string>>>();
+    std::make_shared<Question>(loop_, line, [answer](std::optional<std::string> reply) {
+        *answer = {true, std::move(reply)};
+    })->ask(members_[index].process->console());
+    await([&] { return answer->first; }, 2 * kAnswerTime);
+    if (!answer->second || !answer->second->ends_with("END\n")) return std::nullopt;
+    return answer->second->substr(0, answer->second->size() - 4);
+}
+
 std::size_t FleetRig::holds(std::size_t index, const std::string& state) const {
     const auto& beliefs = members_[index].beliefs;
     return static_cast<std::size_t>(
--- a/emulator/fleet_rig.h
+++ b/emulator/fleet_rig.h
@@ -67,8 +67,12 @@
     bool await(const std::function<bool()>& so, Duration most);
     void run_for(Duration time);
 
+    /// What it answers to one call of its console; nothing where it does not. Runs the loop meanwhile.
+    std::optional<std::string> call(std::size_t member, const std::string& line);
     /// Where clients reach it.
     const Address& address(std::size_t member) const { return members_[member].process->address(); }
+    /// Where operators call it.
+    const Address& console(std::size_t member) const { return members_[member].process->console(); }
     bool is_up(std::size_t member) const { return members_[member].process != nullptr; }
     const std::vector<Believed>& beliefs(std::size_t member) const { return members_[member].beliefs; }
     /// How many it holds to be in this state; itself among the alive.
--- a/emulator/report.cpp
+++ b/emulator/report.cpp
@@ -50,6 +50,8 @@
             return {static_cast<double>(report.double_effects), 0.0};
         case Metric::Fallen:
             return {static_cast<double>(report.fallen), 0.0};
+        case Metric::ToDrained:
+            return {static_cast<double>(report.to_drained), 0.0};
         case Metric::Drained:
             return {static_cast<double>(report.drained), 0.0};
         case Metric::Thrashed:
@@ -192,6 +194,7 @@
     root["repeats_dropped"] = report.repeats_dropped;
     root["fallen"] = report.fallen;
     root["drained"] = report.drained;
+    root["to_drained"] = report.to_drained;
     root["thrashed"] = report.thrashed;
     root["unknown_ids"] = report.unknown_ids;
     root["rules"] = ordered_json::array();
@@ -229,9 +232,11 @@
     }
     out += fmt::format(
         "\nservice {:.1f}%   worst 10 s {:.1f}% (from {:g} s)   attempts per request {:.3f}\n"
-        "drained {}   thrashed {}   fallen {}   repeats dropped {}   double effects {}\n\n",
+        "drained {} (tries a second after {})   thrashed {}   fallen {}   repeats dropped {}   double "
+        "effects {}\n\n",
         report.service * 100.0, report.worst_10s * 100.0, report.worst_from_s, report.attempts_per_request(),
-        report.drained, report.thrashed, report.fallen, report.repeats_dropped, report.double_effects);
+        report.drained, report.to_drained, report.thrashed, report.fallen, report.repeats_dropped,
+        report.double_effects);
     for (std::size_t i = 0; i < report.rules.size(); ++i) {
         const auto& rule = report.rules[i];
         out += fmt::format("rule: {:<36}{}\n", kRuleNames[i],
--- a/emulator/report.h
+++ b/emulator/report.h
@@ -60,8 +60,9 @@
     double service = 0.0;    ///< share of the worth asked for that was earned
     double worst_10s = 0.0;  ///< the same in the worst 10 s
     double worst_from_s = 0.0;
-    std::uint64_t double_effects = 0, repeats_dropped = 0, fallen = 0, drained = 0, thrashed = 0,
-                  unknown_ids = 0;
+    /// `to_drained`: tries that began over a second after their endpoint was listed as draining or gone.
+    std::uint64_t to_drained = 0, double_effects = 0, repeats_dropped = 0, fallen = 0, drained = 0,
+                  thrashed = 0, unknown_ids = 0;
     std::array<RuleFigures, 4> rules;
     std::vector<ExpectFigures> expectations;
 
--- a/emulator/scenario.cpp
+++ b/emulator/scenario.cpp
@@ -327,7 +327,7 @@
 
 /// VERB [amount] [for TIME], by the table below; "docs/emulator.md" has the same table in words.
 void read_action(Words& words, EventSpec& event) {
-    enum class Needs { Endpoints, Sidecars, Either, Nothing };
+    enum class Needs { Endpoints, Sidecars, Either, Perhaps, Nothing };
     Needs needs = Needs::Endpoints;
     bool may_last = true;
     if (words.take("slow")) {
@@ -424,6 +424,7 @@
         needs = Needs::Nothing;
         if (words.take("silent")) {
             event.verb = Verb::DiscoverySilent;
+            needs = Needs::Perhaps;
         } else if (words.take("stale")) {
             event.verb = Verb::DiscoveryStale;
             event.span = words.value(parse_duration, kTime);
@@ -451,6 +452,7 @@
     if (needs == Needs::Sidecars && event.on.kind != Target::Kind::Sidecars) {
         words.fail("this needs 'on' with sidecars, such as \"sidecars/0\"");
     }
+    if (needs == Needs::Perhaps && endpoints) words.fail("this takes no 'on', or sidecars");
     if (needs == Needs::Nothing && event.on.kind != Target::Kind::None) words.fail("this takes no 'on'");
 }
 
@@ -487,6 +489,7 @@
                                                           {"unanswered", Metric::Unanswered},
                                                           {"double-effects", Metric::DoubleEffects},
                                                           {"fallen", Metric::Fallen},
+                                                          {"to-drained", Metric::ToDrained},
                                                           {"drained", Metric::Drained},
                                                           {"thrashed", Metric::Thrashed},
                                                           {"peak-connections", Metric::PeakConnections},
--- a/emulator/scenario.h
+++ b/emulator/scenario.h
@@ -167,6 +167,7 @@
     TriesPerRequest,
     DoubleEffects,
     Fallen,
+    ToDrained,
     Drained,
     Thrashed,
     PeakConnections,
--- a/emulator/socket_peers.cpp
+++ b/emulator/socket_peers.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr Duration kHoldFor = 100ms;           // until a call that is held is looked at again
 constexpr std::int64_t kMostWatchMs = 60'000;  // the platform's protocol
 constexpr const char* kNoise = "\x16\x03\x01 this is no answer \x00\x7f\r\n\x02";
 
@@ -273,7 +274,8 @@
     Connection(DiscoveryServer& server, tcp::socket socket)
         : server_(&server),
           registry_(server.world_.registry(server.world_.sidecars()[server.sidecar_].tier)),
-          socket_(std::move(socket)) {}
+          socket_(std::move(socket)),
+          again_(server.loop_) {}
     void start() {
         error_code ignored;
         socket_.set_option(tcp::no_delay(true), ignored);
@@ -309,6 +311,7 @@
             const auto self = weak.lock();
             if (!self || self->closed_) return;
             self->asking_ = false;
+            if (self->server_->world_.deaf(self->server_->sidecar_)) return self->hold();
             if (!list) return self->write(http::status::service_unavailable, {});
             // Told is what has been written.
             self->server_->world_.told(self->server_->sidecar_, *list);
@@ -321,6 +324,15 @@
             if (error || has_ended(self->socket_)) self->leave();
         });
     }
+    /// As an agent that has lost its registry: what it is asked stays unanswered.
+    void hold() {
+        asking_ = false;
+        again_.set(server_->loop_.now() + kHoldFor, [self = shared_from_this()] {
+            if (self->closed_ || !self->server_) return;
+            if (self->server_->world_.deaf(self->server_->sidecar_)) return self->hold();
+            self->ask();
+        });
+    }
     void write(http::status status, std::string&& body) {
         answer_ = {};
         answer_.version(11);
@@ -339,6 +351,7 @@
     void leave() {
         if (std::exchange(closed_, true)) return;
         const auto self = shared_from_this();
+        again_.cancel();
         if (std::exchange(asking_, false)) registry_.drop(watch_);
         if (server_) server_->open_.erase(self);
         error_code ignored;
@@ -351,6 +364,7 @@
     boost::beast::flat_buffer buffer_;
     http::request<http::string_body> request_;
     http::response<http::string_body> answer_;
+    Timer again_;
     Registry::WatchId watch_ = 0;
     bool asking_ = false, closed_ = false;
 };
--- a/emulator/world.cpp
+++ b/emulator/world.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr Duration kKnownByAll = 1s;  // after a drain was listed no sidecar should begin a try there
 constexpr Duration kDrainTime = 10s;  // a drained endpoint goes on for this long where nothing else is said
 constexpr Duration kDrainLooks = 100ms;   // and then until it is idle, looked at this often,
 constexpr int kMostDrainLooks = 50;       // but so many times only
@@ -50,6 +51,7 @@
     std::uint32_t starts = 0, replaced = 0, connections = 0, peak_connections = 0;
     std::uint64_t attempts = 0;
     bool from_the_start = false;
+    std::optional<Time> listed_away;  ///< since when discovery says so
     std::int64_t sidecar = -1;
     std::int64_t boot_ms = 0;
     std::map<EndpointModel::JobId, Attempt*> jobs;  // in order, so that a death ends them in order
@@ -257,11 +259,18 @@
     Draws draws(options_.seed,
                 fmt::format("news of {} {} {}", entry.uid, node.starts, static_cast<int>(state)));
     const Duration wait = after + stale_ + from_seconds(draws.unit() * seconds(scenario_.discovery.spread));
-    later(wait, [this, entry, tier = node.tier] {
+    later(wait, [this, entry, tier = node.tier, index = node.index] {
         trace("listed {} {}", entry.uid,
               entry.state == Availability::Ready  ? "ready"
               : entry.state == Availability::Gone ? "gone"
                                                   : "draining");
+        // The first word that it goes counts, to whichever sidecar.
+        Node& node = *nodes_[index];
+        if (entry.state == Availability::Ready) {
+            node.listed_away.reset();
+        } else if (!node.listed_away) {
+            node.listed_away = scheduler_.now();
+        }
         registries_[tier]->change(entry);
     });
 }
@@ -463,6 +472,7 @@
     ++call.attempts_out;
     ++report_.tiers[node.tier].attempts;
     ++node.attempts;
+    if (node.listed_away && now > *node.listed_away + kKnownByAll) ++report_.to_drained;
     attempt.number = rules_->attempt(spec.id, spec.node, node.pod, spec.first_byte, now);
     trace("attempt {} at {}", spec.id, node.name);
 
@@ -1048,6 +1058,13 @@
         case Verb::Leave:
             return lasting(leaves_);
         case Verb::DiscoverySilent:
+            if (event.on.kind == Target::Kind::Sidecars) {
+                const auto deaf = chosen(event, number);
+                deaf_.insert(deaf.begin(), deaf.end());
+                return ends([this, deaf] {
+                    for (const std::uint32_t sidecar : deaf) deaf_.erase(sidecar);
+                });
+            }
             for (const auto& registry : registries_) registry->silence(true);
             return ends([this] {
                 for (const auto& registry : registries_) registry->silence(false);
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -49,6 +50,8 @@
     void begin();
     /// Nothing more will come and all that came is settled, or has had the time for it.
     bool over() const { return over_; }
+    /// Whether discovery says nothing to this sidecar now. On sockets only.
+    bool deaf(std::uint32_t sidecar) const { return deaf_.contains(sidecar); }
     void on_over(std::function<void()> what) { on_over_ = std::move(what); }
     /// To be called once, when it is over.
     Report report();
@@ -166,6 +169,7 @@
     std::vector<std::pair<std::uint64_t, double>> bursts_, leaves_;
     std::vector<std::pair<std::uint32_t, double>> hot_;  // sidecar, share of all traffic
     Duration stale_{};
+    std::set<std::uint32_t> deaf_;  // sidecars that discovery says nothing to
     std::uint64_t last_condition_ = 0;
 
     Report report_;
--- a/src/assembly/features.cpp
+++ b/src/assembly/features.cpp
@@ -85,6 +85,7 @@
 
 constexpr std::size_t kMostFleetName = 64;  // bytes, as the wire has it
 constexpr Duration kMostStall = 60s;
+constexpr Duration kLeastTombstones = 10s;
 
 /// Addresses with their ports, or (`hosts`) without.
 std::vector<std::string> read_addresses(Table& from, std::string_view key, bool hosts) {
@@ -139,6 +140,25 @@
     return result;
 }
 
+replica::Options read_state(Table& from, bool fleet) {
+    replica::Options result;
+    if (!fleet) from.fail("needs [fleet]: there is nobody to share state with");
+    replica::Pace& pace = result.pace;
+    from.span("push_every", pace.push_every, true);
+    from.whole("push_to", pace.push_to, 1, 16);
+    from.whole("push_times", pace.push_times, 1, 8);
+    from.span("compare_every", pace.compare_every, true);
+    from.span("tombstones", pace.tombstones, true);
+    std::size_t kb = pace.bytes_a_second / 1024;
+    from.whole("kb_a_second", kb, 64, 64 * 1024);
+    pace.bytes_a_second = kb * 1024;
+    from.text("registry", result.registry);
+    if (pace.tombstones < kLeastTombstones)
+        from.fail("'tombstones' is under 10s: a pause would bring deleted entries back");
+    from.end();
+    return result;
+}
+
 }  // namespace
 
 Features read_features(std::string_view text, const std::string& file) {
@@ -159,6 +179,7 @@
             table->end();
         }
         if (auto table = top.table("fleet")) result.fleet = read_fleet(*table);
+        if (auto table = top.table("state")) result.state = read_state(*table, result.fleet.has_value());
         if (auto table = top.table("ledger")) result.ledger = read_ledger(*table);
         if (auto table = top.table("telemetry")) {
             telemetry::Options& into = result.telemetry.emplace();
--- a/src/assembly/features.h
+++ b/src/assembly/features.h
@@ -15,6 +15,7 @@
 #include "ledger/options.h"
 #include "membership/membership.h"
 #include "outlier/outlier_policy.h"
+#include "replica/options.h"
 #include "subset/subset_policy.h"
 #include "telemetry/options.h"
 
@@ -31,6 +32,7 @@
     std::optional<double> caution_share;  ///< of [membership]: the share of a tier whose removal is doubted
     ConnectionOptions connections;
     std::optional<fleet::Options> fleet;
+    std::optional<replica::Options> state;  ///< needs `fleet`
     std::optional<ledger::Options> ledger;
     std::optional<telemetry::Options> telemetry;
 };
--- a/src/command/fleet.cpp
+++ b/src/command/fleet.cpp
@@ -4,13 +4,11 @@
 
 #include <chrono>
 #include <iostream>
-#include <map>
-#include <nlohmann/json.hpp>
 #include <sstream>
 #include <thread>
-#include <vector>
 
 #include "command/console_client.h"
+#include "command/lines.h"
 
 namespace martenford {
 
@@ -20,58 +18,6 @@
 constexpr std::chrono::milliseconds kWatchEvery{500};
 constexpr const char* kHint = "is [fleet] on?";
 
-/// "name=n3 state=alive a b" as its fields, in order; what has no '=' is text.
-std::vector<std::pair<std::string, std::string>> fields_of(const std::string& line) {
-    std::vector<std::pair<std::string, std::string>> result;
-    std::istringstream words(line);
-    for (std::string word; words >> word;) {
-        const auto equals = word.find('=');
-        if (equals != word.npos && (result.empty() || result.back().first != "text")) {
-            result.emplace_back(word.substr(0, equals), word.substr(equals + 1));
-        } else if (!result.empty() && result.back().first == "text") {
-            result.back().second += " " + word;
-        } else {
-            result.emplace_back("text", word);
-        }
-    }
-    return result;
-}
-
-void print_json(const std::string& reply) {
-    std::istringstream lines(reply);
-    for (std::string line; std::getline(lines, line);) {
-        nlohmann::ordered_json object;
-        for (const auto& [key, value] : fields_of(line)) object[key] = value;
-        std::cout << object.dump() << "\n";
-    }
-    std::cout << std::flush;
-}
-
-/// As a table: the columns of the first line that has each.
-void print_table(const std::string& reply) {
-    std::vector<std::string> columns;
-    std::map<std::string, std::size_t> widths;
-    std::vector<std::map<std::string, std::string>> rows;
-    std::istringstream lines(reply);
-    for (std::string line; std::getline(lines, line);) {
-        auto& row = rows.emplace_back();
-        for (const auto& [key, value] : fields_of(line)) {
-            if (!widths.contains(key)) columns.push_back(key);
-            widths[key] = std::max({widths[key], key.size(), value.size()});
-            row[key] = value;
-        }
-    }
-    std::string head;
-    for (const std::string& column : columns) head += fmt::format("{:<{}}  ", column, widths[column]);
-    std::cout << head << "\n";
-    for (auto& row : rows) {
-        std::string text;
-        for (const std::string& column : columns)
-            text += fmt::format("{:<{}}  ", row[column], widths[column]);
-        std::cout << text.substr(0, text.find_last_not_of(' ') + 1) << "\n";
-    }
-}
-
 }  // namespace
 
 int ask_fleet(const FleetWords& words) {
--- a/src/core/events.cpp
+++ b/src/core/events.cpp
@@ -124,6 +124,8 @@
         {FleetStood, "MF108", "fleet.stood", Weight::Warning, kRare, "This process stood still"},
         {FleetAccused, "MF109", "fleet.accused", Weight::Warning, kRare,
          "This process was suspected, and has refuted it"},
+        {StateCaughtUp, "MF120", "state.caught_up", Weight::Info, kRare,
+         "It has had all shared state that another sidecar had"},
         {LinesLost, "MF900", "log.lost", Weight::Warning, kRare, "Nobody read the log fast enough"}};
     return kinds;
 }
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -37,6 +37,7 @@
     FleetDoubled,
     FleetStood,
     FleetAccused,
+    StateCaughtUp,
     LinesLost
 };
 
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -77,6 +77,10 @@
           [](Known m) { return m.figures().spared; });
     enter("membership.regressions", "changes older than what was held",
           [](Known m) { return m.figures().regressions; });
+    enter("membership.hinted", "endpoints that other sidecars' word keeps away now",
+          [](Known m) { return m.hinted(); });
+    enter("membership.hints", "times that other sidecars' word took an endpoint away",
+          [](Known m) { return m.figures().hinted; });
     enter("membership.twins", "uids whose hash another had", [](Known m) { return m.figures().twins; });
 }
 Discovery::~Discovery() = default;
@@ -236,6 +240,10 @@
         placement_.place(id, address, ready);
     }
     if (update.news.kind != Discovered::Kind::Failed) engine_.tell(std::move(update.news));
+    if (on_drained_ && heard_) {
+        for (const Membership::Drained& each : update.drained)
+            on_drained_(each, membership_.revision().value_or(0));
+    }
     if (update.ask_whole) whole_ = true;
     if (const auto due = membership_.next_due()) {
         doubt_.set(*due, [this] { apply(membership_.believe(Loop::monotonic())); });
--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -3,7 +3,10 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
+#include <functional>
 #include <memory>
+#include <string>
+#include <utility>
 
 #include "config/config.h"
 #include "core/counters.h"
@@ -30,6 +33,14 @@
     /// How an attempt ended: where a watch is silent and endpoints are not as listed, discovery is asked
     /// anew.
     void saw(EndpointId id, loftfront::Status status);
+    /// What others than discovery say of an endpoint.
+    void guide(const std::string& uid, const Membership::Guide& guide) {
+        apply(membership_.guide(uid, guide));
+    }
+    /// Called with each endpoint that discovery no longer lists as ready, and the list's revision.
+    void on_drained(std::function<void(const Membership::Drained&, std::uint64_t)> call) {
+        on_drained_ = std::move(call);
+    }
     /// Whether any endpoint is known to serve.
     bool knows_any() const { return membership_.knows_any(); }
     /// Whether discovery itself has told a list since the start.
@@ -54,6 +65,7 @@
     std::shared_ptr<Exchange> exchange_;  // the connection, while watching
     std::shared_ptr<Exchange> silent_;  // and one whose watch seems silent, until the fresh call is answered
     Staleness staleness_;
+    std::function<void(const Membership::Drained&, std::uint64_t)> on_drained_;
     Counter& asked_anew_;
     Timer again_, doubt_, suspect_;
     Duration wait_{};
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -74,6 +74,12 @@
     return framing::framed(out);
 }
 
+std::string frame_of(const Carried& carried) {
+    wire::Frame out;
+    out.set_state(carried.bytes);
+    return framing::framed(out);
+}
+
 Said read_said(std::string_view bytes) {
     const auto in = framing::parsed<wire::Frame>(bytes);
     if (in.has_hello()) {
@@ -86,6 +92,7 @@
                      from.oldest(),
                      from.newest()};
     }
+    if (in.has_state()) return Carried{in.state()};
     if (!in.has_message()) throw FrameError("a message says nothing");
     const auto& from = in.message();
     if (from.kind() >= kKinds) throw FrameError("a message is of no known kind");
--- a/src/fleet/wire.h
+++ b/src/fleet/wire.h
@@ -73,11 +73,17 @@
     std::uint32_t oldest = kOldestWire, newest = kNewestWire;
 };
 
-using Said = std::variant<Hello, Message>;
+/// What another package says on the same link; not looked into here.
+struct Carried {
+    std::string bytes;
+};
+
+using Said = std::variant<Hello, Message, Carried>;
 
 /// A whole frame.
 std::string frame_of(const Hello& hello);
 std::string frame_of(const Message& message);
+std::string frame_of(const Carried& carried);
 /// Of a frame's message. Throws framing::FrameError where it is none, or is over a bound above.
 Said read_said(std::string_view bytes);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -19,6 +19,7 @@
 
 #include "assembly/features.h"
 #include "command/fleet.h"
+#include "command/state.h"
 #include "command/why.h"
 #include "config/config.h"
 #include "console/console.h"
@@ -32,6 +33,7 @@
 #include "ledger/recorder.h"
 #include "ledger/writer_link.h"
 #include "peers/peers.h"
+#include "replica/keeper.h"
 #include "telemetry/collector.h"
 
 namespace martenford {
@@ -106,6 +108,9 @@
                      ? std::make_unique<peers::Peers>(loop_, *features.fleet, config.name, zone_of(config),
                                                       MARTENFORD_VERSION, counters_)
                      : nullptr),
+          keeper_(peers_ && features.state
+                      ? std::make_unique<replica::Keeper>(loop_, *features.state, *peers_, counters_)
+                      : nullptr),
           discovery_(loop_, telemetry_ ? static_cast<Placement&>(telemetry_->tap) : placement(), engine_,
                      config, membership_options(features, config.settings), counters_),
           front_(
@@ -113,6 +118,16 @@
           late_(loop_) {
         engine_.on_subscribe([this] { discovery_.subscribe(); });
         engine_.on_ended([this](EndpointId id, loftfront::Status status) { discovery_.saw(id, status); });
+        if (keeper_) {
+            keeper_->on_guide([this](const std::string& uid, const replica::Guide& guide) {
+                Membership::Guide to{guide.away, guide.weight, {}};
+                if (guide.drains) to.drains = {guide.drains->revision, guide.drains->boot_ms};
+                discovery_.guide(uid, to);
+            });
+            discovery_.on_drained([this](const Membership::Drained& drained, std::uint64_t revision) {
+                keeper_->drained(drained.uid, {revision, drained.boot_ms, {}});
+            });
+        }
         if (telemetry_) engine_.observed_by(&telemetry_->collector);
         if (!journal_) return;
         engine_.watched_by(&journal_->recorder);
@@ -251,6 +266,9 @@
                           if (telemetry_) {
                               if (auto lines = telemetry_->collector.answer(line)) return lines;
                           }
+                          if (keeper_) {
+                              if (auto lines = keeper_->answer(line)) return lines;
+                          }
                           return peers_ ? peers_->answer(line) : std::nullopt;
                       }});
     }
@@ -290,6 +308,7 @@
     Engine engine_;
     std::unique_ptr<Telemetry> telemetry_;
     std::unique_ptr<peers::Peers> peers_;
+    std::unique_ptr<replica::Keeper> keeper_;
     Discovery discovery_;
     Http1Front front_;
     std::optional<Console> console_;
@@ -304,6 +323,43 @@
     return Program(features, config).run();
 }
 
+void add_state_words(CLI::App& app, StateWords& state) {
+    auto* ask = app.add_subcommand("state", "what all sidecars of a fleet share: read, write, compare");
+    ask->require_subcommand(1);
+    const auto add = [&](const char* name, const char* what) {
+        auto* each = ask->add_subcommand(name, what);
+        each->add_option("--console", state.console, "where operators call; otherwise PROXY_CONSOLE")
+            ->type_name("ADDRESS");
+        each->add_flag("--json", state.json, "one JSON object a line");
+        each->callback([&state, name] { state.what = name; });
+        return each;
+    };
+    add("tables", "its tables, their rules and sizes");
+    add("self", "this copy: how far it is, what it gave and took");
+    add("conflicts", "what was written beside each other and waits for a word");
+    add("history", "what this copy learnt of late");
+    auto* get = add("get", "entries that stand");
+    get->add_option("table", state.table, "of this table; otherwise of all");
+    get->add_option("key", state.key, "this one alone")->needs("table");
+    auto* diff = add("diff", "where this copy and another differ");
+    diff->add_option("other", state.other, "where operators call the other")->required();
+    for (const auto& [name, what] :
+         {std::pair{"put", "writes an entry"}, std::pair{"settle", "writes over all that stands beside"},
+          std::pair{"delete", "deletes an entry"}}) {
+        auto* each = add(name, what);
+        each->add_option("table", state.table)->required();
+        each->add_option("key", state.key)->required();
+        auto* value = std::string(name) == "delete" ? nullptr : each->add_option("value", state.value);
+        if (std::string(name) == "put") value->required();
+        each->add_option("--reach", state.reach, "so many others, or majority, must have it")
+            ->check(CLI::Range(0, 10'000) | CLI::IsMember({"majority"}));
+        each->add_option("--within", state.within_s, "seconds that this may take")->check(CLI::Range(1, 60));
+        each->add_option("--expires", state.expires_s, "seconds until it ends by itself")
+            ->check(CLI::Range(10, 86'400));
+        each->add_option("--reason", state.reason, "for those who read it");
+    }
+}
+
 }  // namespace
 }  // namespace martenford
 
@@ -347,6 +403,8 @@
         each->add_flag("--json", fleet.json, "one JSON object a line");
         each->callback([&fleet, name = name] { fleet.what = name; });
     }
+    martenford::StateWords state;
+    martenford::add_state_words(app, state);
     auto* events = app.add_subcommand("events", "the page of all that it may tell of itself");
     app.require_subcommand(0, 1);
     try {
@@ -360,6 +418,7 @@
     }
     if (ask_why->parsed()) return martenford::ask_why(why);
     if (ask_fleet->parsed()) return martenford::ask_fleet(fleet);
+    if (!state.what.empty()) return martenford::ask_state(state);
     if (ledger->parsed()) return martenford::ask_journal(ledger->remaining());
     try {
         const martenford::Features features = martenford::features_of(own);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -10,7 +10,9 @@
 using loftfront::EndpointList;
 
 namespace {
-constexpr Duration kRest = 60s;                // longer than any attempt that may still bear the id
+constexpr Duration kRest = 60s;  // longer than any attempt that may still bear the id
+/// Others' word takes at most this part of the ready away: all that are wrong together leave half.
+constexpr std::size_t kHintedPart = 2;
 constexpr std::size_t kMostResting = 200'000;  // a fleet of 10,000 replaced every 3 s
 }  // namespace
 
@@ -79,7 +81,8 @@
     }
     Known& known = it->second;
     const auto started = known.endpoint.started;
-    if (!fresh && known.endpoint.availability == Availability::Ready) --ready_;
+    const bool was_ready = !fresh && known.endpoint.availability == Availability::Ready;
+    if (was_ready) --ready_;
     known.endpoint = target.endpoint;
     known.endpoint.id = known.id;
     // Converted once a start, so that the module does not take a second reading of the clocks for a new
@@ -91,18 +94,79 @@
         known.endpoint.started = started;
     }
     known.address = target.address;
-    const bool ready = target.endpoint.availability == Availability::Ready;
-    if (ready) ++ready_;
+    if (target.endpoint.availability == Availability::Ready) {
+        ++ready_;
+    } else if (was_ready) {
+        update.drained.push_back({target.uid, known.boot_ms});
+    }
     if (doubted_.erase(target.uid) > 0) ++figures_.spared;
-    news.push_back(known.endpoint);
-    update.placed.push_back({known.id, known.address, ready, &it->first});
+    place(it->first, known, news, update);
+}
+
+/// `uid` is a key of known_: it stays until the next list.
+void Membership::place(const std::string& uid, const Known& known, EndpointList& news, Update& update) {
+    const loftfront::Endpoint endpoint = effective(uid, known);
+    news.push_back(endpoint);
+    update.placed.push_back({known.id, known.address, endpoint.availability == Availability::Ready, &uid});
+}
+
+bool Membership::hint_counts(const Known& known, const Guide& guide) const {
+    return guide.drains && known.boot_ms == guide.drains->boot_ms &&
+           known.endpoint.availability == Availability::Ready && revision_ &&
+           guide.drains->revision > *revision_;
+}
+
+loftfront::Endpoint Membership::effective(const std::string& uid, const Known& known) {
+    loftfront::Endpoint endpoint = known.endpoint;
+    if (guides_.empty()) return endpoint;
+    const auto it = guides_.find(uid);
+    const bool hint = it != guides_.end() && hint_counts(known, it->second);
+    if (!hint) {
+        hinted_.erase(uid);
+    } else if (!hinted_.contains(uid) && (hinted_.size() + 1) * kHintedPart <= ready_) {
+        hinted_.insert(uid);
+        ++figures_.hinted;
+    }
+    if (it == guides_.end() || endpoint.availability != Availability::Ready) return endpoint;
+    if (it->second.away || it->second.weight <= 0.0 || hinted_.contains(uid)) {
+        endpoint.availability = Availability::Draining;
+    } else {
+        endpoint.weight *= it->second.weight;
+    }
+    return endpoint;
+}
+
+Membership::Update Membership::guide(const std::string& uid, const Guide& guide) {
+    Update update;
+    update.news.kind = Discovered::Kind::Failed;
+    const auto known = known_.find(uid);
+    std::optional<loftfront::Endpoint> before;
+    if (known != known_.end()) before = effective(uid, known->second);
+    if (guide == Guide{}) {
+        guides_.erase(uid);
+        hinted_.erase(uid);
+    } else {
+        guides_[uid] = guide;
+    }
+    if (!before) return update;
+    const loftfront::Endpoint after = effective(uid, known->second);
+    if (after.availability == before->availability && after.weight == before->weight) return update;
+    auto news = std::make_shared<EndpointList>();
+    place(known->first, known->second, *news, update);
+    update.news.kind = Discovered::Kind::Delta;
+    update.news.endpoints = std::move(news);
+    return update;
 }
 
 void Membership::remove(const std::string& uid, Time now, EndpointList& news, Update& update) {
     doubted_.erase(uid);
     const auto it = known_.find(uid);
     if (it == known_.end()) return;
-    if (it->second.endpoint.availability == Availability::Ready) --ready_;
+    if (it->second.endpoint.availability == Availability::Ready) {
+        --ready_;
+        update.drained.push_back({uid, it->second.boot_ms});
+    }
+    hinted_.erase(uid);
     loftfront::Endpoint gone = it->second.endpoint;
     gone.availability = Availability::Gone;
     gone.started.reset();
@@ -183,6 +247,8 @@
         doubted_until_ = std::min(doubted_until_.value_or(Time::max()), now + options_.caution);
     }
 
+    revision_ = list.revision;
+    const std::vector<std::string> were_hinted(hinted_.begin(), hinted_.end());
     auto news = std::make_shared<EndpointList>();
     news->reserve(list.targets.size());
     const bool settles = whole && !doubt;
@@ -194,7 +260,8 @@
         std::vector<std::string> kept(list.unreadable);
         if (doubt) kept.insert(kept.end(), going.begin(), going.end());
         for (const std::string& uid : kept) {
-            if (const auto it = known_.find(uid); it != known_.end()) news->push_back(it->second.endpoint);
+            if (const auto it = known_.find(uid); it != known_.end())
+                news->push_back(effective(it->first, it->second));
         }
     }
     for (const Target& target : list.targets) {
@@ -205,7 +272,13 @@
         doubted_.clear();
         doubted_until_.reset();
     }
-    revision_ = list.revision;
+    // Discovery has told what is as new as the others' word: it goes by itself again.
+    for (const std::string& uid : were_hinted) {
+        const auto it = known_.find(uid);
+        if (it == known_.end() || !hinted_.contains(uid) || hint_counts(it->second, guides_.at(uid)))
+            continue;
+        place(it->first, it->second, *news, update);
+    }
     update.news.kind = cached     ? Discovered::Kind::Cached
                        : list.all ? Discovered::Kind::Full
                                   : Discovered::Kind::Delta;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -50,19 +50,41 @@
         bool ready = false;
         const std::string* uid = nullptr;  ///< until the next list
     };
+    /// What others than discovery say of an endpoint. It takes away and never adds: an endpoint is at most as
+    /// ready as discovery lists it.
+    struct Guide {
+        bool away = false;    ///< an operator's word: nothing new goes there
+        double weight = 1.0;  ///< an operator's, beside discovery's
+        /// Other sidecars' discovery has it drain or gone, at this revision of the list, in the life that
+        /// began at `boot_ms`. It counts until the own discovery has told as new a list.
+        struct Hint {
+            std::uint64_t revision = 0;
+            std::int64_t boot_ms = 0;
+            bool operator==(const Hint&) const = default;
+        };
+        std::optional<Hint> drains;
+        bool operator==(const Guide&) const = default;
+    };
+    /// An endpoint that discovery no longer lists as ready, and the life that this ends.
+    struct Drained {
+        std::string uid;
+        std::int64_t boot_ms = 0;
+    };
     /// What follows from a list.
     struct Update {
         loftfront::Discovered news;       ///< for the module; of kind Failed there is none
         std::vector<EndpointId> removed;  ///< for the back, before `placed`
         std::vector<Placed> placed;
         bool ask_whole = false;  ///< the whole list is wanted, at once
-        std::string remark;      ///< worth a line of log; mostly empty
+        std::vector<Drained> drained;
+        std::string remark;  ///< worth a line of log; mostly empty
     };
     struct Figures {
         std::uint64_t cautions = 0;       ///< lists that were doubted
         std::uint64_t spared = 0;         ///< endpoints that were listed again within the doubt
         std::uint64_t regressions = 0;    ///< changes older than what is held
         std::uint64_t twins = 0;          ///< uids whose hash another had
+        std::uint64_t hinted = 0;         ///< times that others' word took an endpoint away
         std::uint64_t rests_dropped = 0;  ///< ids given free early because too many rested
     };
 
@@ -74,6 +96,8 @@
     Update take(const TargetList& list, bool cached, Time now, Time epoch);
     /// What was doubted for long enough, as changes. To be called at next_due().
     Update believe(Time now);
+    /// What is said of an endpoint from here on, known or not.
+    Update guide(const std::string& uid, const Guide& guide);
     std::optional<Time> next_due() const { return doubted_until_; }
 
     /// Another discovery from here on: revisions mean something else, the endpoints stay.
@@ -83,6 +107,8 @@
     std::size_t ready() const { return ready_; }
     std::size_t size() const { return known_.size(); }
     std::size_t doubted() const { return doubted_.size(); }
+    /// Endpoints that others' word keeps away now.
+    std::size_t hinted() const { return hinted_.size(); }
     const Figures& figures() const { return figures_; }
     std::optional<EndpointId> id_of(const std::string& uid) const;
 
@@ -101,6 +127,9 @@
     void enter(const Target& target, Time now, Time epoch, List& news, Update& update);
     void remove(const std::string& uid, Time now, List& news, Update& update);
     bool doubts(std::size_t going) const;
+    bool hint_counts(const Known& known, const Guide& guide) const;
+    loftfront::Endpoint effective(const std::string& uid, const Known& known);
+    void place(const std::string& uid, const Known& known, List& news, Update& update);
     EndpointId new_id(const std::string& uid);
     void free_rested(Time now);
 
@@ -115,6 +144,8 @@
     std::optional<std::uint64_t> revision_;
     std::unordered_set<std::string> doubted_;  // to be removed, unless they are listed again before
     std::optional<Time> doubted_until_;
+    std::unordered_map<std::string, Guide> guides_;
+    std::unordered_set<std::string> hinted_;  // that a hint keeps away now
     Figures figures_;
 };
 
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -116,6 +116,13 @@
         peers_.dropped_.add(queue_.dropped() - dropped);
         flush();
     }
+    void put(const fleet::Carried& carried) {
+        used_ = peers_.loop_.now();
+        const auto dropped = queue_.dropped();
+        queue_.put(carried);
+        peers_.dropped_.add(queue_.dropped() - dropped);
+        flush();
+    }
     void bye() {
         Message bye;
         bye.kind = Message::Kind::Bye;
@@ -192,6 +199,11 @@
                 } else {
                     if (phase_ != Phase::Up) throw framing::FrameError("a message before the hello");
                     count();
+                    if (const auto* carried = std::get_if<fleet::Carried>(&said)) {
+                        used_ = peers_.loop_.now();
+                        if (peers_.on_carried_) peers_.on_carried_(id_, address_, carried->bytes);
+                        continue;
+                    }
                     const auto& message = std::get<Message>(said);
                     used_ = peers_.loop_.now();
                     if (message.kind == Message::Kind::Bye) {
@@ -429,24 +441,31 @@
     });
 }
 
-void Peers::send(fleet::Fleet::Send&& send) {
+std::shared_ptr<Peers::Link> Peers::link_to(const std::string& address) {
     std::shared_ptr<Link> link;
-    if (const auto it = by_address_.find(send.address); it != by_address_.end()) link = it->second.lock();
+    if (const auto it = by_address_.find(address); it != by_address_.end()) link = it->second.lock();
     if (link && link->mute()) {
         link->bye();
         link.reset();
     }
-    if (!link || link->phase() == Link::Phase::Ended || link->parted()) {
-        link = standing(send.address);
-        if (!link) link = dial(send.address);
-    }
-    if (link) {
+    if (link && link->phase() != Link::Phase::Ended && !link->parted()) return link;
+    link = standing(address);
+    return link ? link : dial(address);
+}
+
+void Peers::send(fleet::Fleet::Send&& send) {
+    if (const auto link = link_to(send.address)) {
         link->put(send.message);
     } else {
         fleet_->unsent(loop_.now(), send.message);
     }
 }
 
+void Peers::carry(const std::string& address, std::string bytes) {
+    if (!fleet_) return;
+    if (const auto link = link_to(address)) link->put(fleet::Carried{std::move(bytes)});
+}
+
 /// Two that dialled each other at once have two links; when one ends the other is as good.
 std::shared_ptr<Peers::Link> Peers::standing(const std::string& address) {
     for (const auto& link : links_) {
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -12,6 +12,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "core/address.h"
 #include "core/counters.h"
@@ -40,6 +42,16 @@
     /// turns SINCE". Nothing where it is none of
     /// these.
     std::optional<std::string> answer(std::string_view line) const;
+    /// What another package says over the same links: `call` gets what comes, from whom, and where they are
+    /// reached. It throws framing::FrameError where it can't be read, and the link ends.
+    using Carried =
+        std::function<void(const fleet::Id& from, const std::string& address, const std::string& bytes)>;
+    void on_carried(Carried call) { on_carried_ = std::move(call); }
+    /// May be lost, as a link may be.
+    void carry(const std::string& address, std::string bytes);
+    std::vector<fleet::Fleet::Place> near(std::size_t count) {
+        return fleet_ ? fleet_->near(count) : std::vector<fleet::Fleet::Place>{};
+    }
     const fleet::Fleet* fleet() const { return fleet_ ? &*fleet_ : nullptr; }
 
   private:
@@ -51,6 +63,7 @@
     bool permitted(const Address& from) const;
     void pump();
     void send(fleet::Fleet::Send&& send);
+    std::shared_ptr<Link> link_to(const std::string& address);
     std::shared_ptr<Link> dial(const std::string& address);
     std::shared_ptr<Link> standing(const std::string& address);
     void turn_away(asio::ip::tcp::socket& socket);
@@ -69,6 +82,7 @@
     const std::string name_, zone_, version_;
     bool heir_ = false, listens_anywhere_ = false, said_no_listener_ = false;
     Address listen_;
+    Carried on_carried_;
     std::optional<fleet::Fleet> fleet_;
     asio::ip::tcp::acceptor acceptor_;
     Timer tick_, again_, leave_;
--- a/src/peers/queue.h
+++ b/src/peers/queue.h
@@ -32,14 +32,12 @@
             }
         }
         line.push_back({message.kind, fleet::frame_of(message)});
-        bytes_ += line.back().frame.size();
-        for (std::size_t i = kRanks; bytes_ > most_ && i-- > 0;) {
-            while (bytes_ > most_ && !lines_[i].empty()) {
-                bytes_ -= lines_[i].front().frame.size();
-                lines_[i].pop_front();
-                ++dropped_;
-            }
-        }
+        bound(line.back().frame.size());
+    }
+    /// Behind all that is said of who is alive.
+    void put(const fleet::Carried& carried) {
+        lines_[kRanks - 1].push_back({fleet::Message::Kind::News, fleet::frame_of(carried)});
+        bound(lines_[kRanks - 1].back().frame.size());
     }
     /// Up to about `most` bytes, whole frames, at least one where any waits.
     std::string take(std::size_t most) {
@@ -60,7 +58,17 @@
     std::uint64_t replaced() const { return replaced_; }
 
   private:
-    static constexpr std::size_t kRanks = 3;
+    static constexpr std::size_t kRanks = 4;
+    void bound(std::size_t more) {
+        bytes_ += more;
+        for (std::size_t i = kRanks; bytes_ > most_ && i-- > 0;) {
+            while (bytes_ > most_ && !lines_[i].empty()) {
+                bytes_ -= lines_[i].front().frame.size();
+                lines_[i].pop_front();
+                ++dropped_;
+            }
+        }
+    }
     static std::size_t rank_of(fleet::Message::Kind kind) {
         using Kind = fleet::Message::Kind;
         switch (kind) {
--- /dev/null
+++ b/src/replica/guidance.cpp
@@ -0,0 +1,102 @@
+#include "replica/guidance.h"
+
+#include <algorithm>
+
+namespace martenford::replica {
+
+std::optional<std::string> Guidance::endpoint_of(const Name& name) {
+    if (name.table == "overrides") return name.key;
+    if (name.table == "drains") return name.key.substr(0, name.key.rfind('/'));
+    return std::nullopt;
+}
+
+Guide Guidance::of(const std::string& uid, Wall wall, std::size_t live) {
+    Guide guide;
+    const auto note_end = [&](const Version& version) {
+        if (version.expires) ends_.emplace(version.expires, uid);
+    };
+    if (const Version* version = copy_.get({"overrides", uid}, wall)) {
+        note_end(*version);
+        if (const auto override_ = read_override(version->value)) {
+            guide.away = override_->what == Override::What::Exclude;
+            if (override_->what == Override::What::Weight) guide.weight = override_->percent / 100.0;
+        }
+    }
+    struct Told {
+        std::set<std::string> witnesses;
+        std::optional<Drain> least;
+    };
+    std::map<std::int64_t, Told> lives;  // by their beginning
+    for (std::size_t place = 0; place < kPlaces; ++place) {
+        const Version* version = copy_.get({"drains", place_of(uid, place)}, wall);
+        if (!version) continue;
+        const auto drain = read_drain(version->value);
+        if (!drain || drain->source != source_) continue;
+        note_end(*version);
+        Told& told = lives[drain->boot_ms];
+        told.witnesses.insert(version->by);
+        // The least that they say: one that makes up a high revision would outlast the own discovery's word.
+        if (!told.least || drain->revision < told.least->revision) told.least = drain;
+    }
+    // One alone may be wrong, or lie; where only one other is, there is no second.
+    const std::size_t others = std::max<std::size_t>(live, 2) - 1;
+    for (const auto& [boot, told] : lives) {
+        if (told.witnesses.size() >= std::min(kWitnesses, others)) guide.drains = told.least;
+    }
+    return guide;
+}
+
+std::vector<std::string> Guidance::due(Wall wall) {
+    std::vector<std::string> result;
+    while (!ends_.empty() && ends_.begin()->first <= wall) {
+        result.push_back(ends_.begin()->second);
+        ends_.erase(ends_.begin());
+    }
+    return result;
+}
+
+void Guidance::drained(const std::string& uid, const Drain& drain, Time now) {
+    const Duration wait{static_cast<Duration::rep>(random_() % static_cast<std::uint64_t>(kSpread.count()))};
+    seen_[uid] = {now + wait, drain};
+    seen_[uid].second.source = source_;
+}
+
+std::optional<Time> Guidance::next() const {
+    std::optional<Time> when;
+    for (const auto& [uid, seen] : seen_) when = std::min(when.value_or(Time::max()), seen.first);
+    return when;
+}
+
+std::vector<Write> Guidance::writes(Time now, Wall wall) {
+    std::vector<Write> result;
+    for (auto it = seen_.begin(); it != seen_.end();) {
+        const auto& [uid, seen] = *it;
+        if (seen.first > now) {
+            ++it;
+            continue;
+        }
+        std::size_t told = 0;
+        std::optional<std::size_t> free;
+        const std::size_t first = random_() % kPlaces;
+        for (std::size_t i = 0; i < kPlaces; ++i) {
+            const std::size_t place = (first + i) % kPlaces;
+            const Version* version = copy_.get({"drains", place_of(uid, place)}, wall);
+            const auto drain = version ? read_drain(version->value) : std::nullopt;
+            const bool same = drain && drain->source == source_ && drain->boot_ms == seen.second.boot_ms;
+            told += same && version->by != name_ ? 1 : 0;
+            if (same && version->by == name_) told = kPlaces;
+            if (!same && !free) free = place;
+        }
+        if (told < kPlaces && free) {
+            Write write;
+            write.name = {"drains", place_of(uid, *free)};
+            write.value = {bytes_of(seen.second), 0};
+            write.expires = wall + static_cast<Wall>(kHintLife / 1ms);
+            result.push_back(std::move(write));
+        }
+        it = seen_.erase(it);
+    }
+    return result;
+}
+
+}  // namespace martenford::replica
--- /dev/null
+++ b/src/replica/keeper.h
@@ -0,0 +1,72 @@
+// This sidecar's copy of the shared state on the loop: its time, its links, its operators' calls, and what it
+// says of endpoints. What is decided is replica::Replica's and replica::Guidance's.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/counters.h"
+#include "core/loop.h"
+#include "peers/peers.h"
+#include "replica/guidance.h"
+#include "replica/options.h"
+#include "replica/replica.h"
+
+namespace martenford::replica {
+
+class Keeper : private Company {
+  public:
+    /// `options` and `peers` outlive it.
+    Keeper(Loop& loop, const Options& options, peers::Peers& peers, Counters& counters);
+    ~Keeper() override;
+
+    /// Called for endpoints whose guide may have changed.
+    void on_guide(std::function<void(const std::string& uid, const Guide&)> call) {
+        on_guide_ = std::move(call);
+    }
+    /// This sidecar's discovery says so.
+    void drained(const std::string& uid, const Drain& drain);
+    /// Calls of operators: "state tables", "state get TABLE", "state put ...", "state outcome N",
+    /// "state history", "state self". Words are escaped, as core/words.h has it. Nothing where it is none.
+    std::optional<std::string> answer(std::string_view line);
+
+  private:
+    /// A member that is gone may come back within it; then it is no longer counted on.
+    static constexpr Duration kMayReturn = 7 * 24h;
+
+    std::vector<Other> some(std::size_t count) override;
+    std::size_t live() const override;
+    std::size_t known() const override { return std::max(live(), roster_.size()); }
+
+    bool begin();
+    void look();
+    void pump();
+    void look_round();
+    void arrived(const fleet::Id& from, const std::string& address, const std::string& bytes);
+    void guide_all(const std::set<Name>& names);
+    std::string put(std::string_view words, bool deleted);
+    std::string tables() const;
+    std::string entries(const std::string& table, bool conflicts) const;
+    std::string history() const;
+    std::string outcome(std::uint64_t ticket) const;
+    std::string self() const;
+
+    Loop& loop_;
+    const Options& options_;
+    peers::Peers& peers_;
+    std::optional<Replica> copy_;
+    std::optional<Guidance> guidance_;
+    std::function<void(const std::string&, const Guide&)> on_guide_;
+    std::map<std::string, Time> roster_;  ///< names, with when they were last alive
+    std::map<std::uint64_t, Replica::Outcome> outcomes_;
+    Timer tick_, round_;
+    Time began_{};
+    bool told_caught_up_ = false, pumping_ = false;
+    Counter &bytes_out_, &bad_;
+};
+
+}  // namespace martenford::replica
--- a/src/replica/options.h
+++ b/src/replica/options.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <string>
 
 #include "core/scheduler.h"
 
@@ -18,6 +19,9 @@
 
 struct Options {
     Pace pace;
+    /// Of the registry whose lists the sidecars are told, by whichever agents: revisions of two can't be
+    /// compared, and hints among those of another name say nothing.
+    std::string registry;
 };
 
 }  // namespace martenford::replica
--- a/src/replica/tables.cpp
+++ b/src/replica/tables.cpp
@@ -75,8 +75,8 @@
         if (space != text.npos) out.set_holder(std::string(text.substr(space + 1)));
         return Value{out.SerializeAsString(), *epoch};
     }
-    error = table == "verdicts" ? "verdicts are written by sidecars alone"
-                                : fmt::format("no table is named '{}'", table);
+    error = table == "verdicts" || table == "drains" ? "this table is written by sidecars alone"
+                                                     : fmt::format("no table is named '{}'", table);
     return std::nullopt;
 }
 
@@ -86,6 +86,8 @@
             if (value->what == Override::What::Weight) return fmt::format("weight={}", value->percent);
             return value->what == Override::What::Exclude ? "exclude" : "include";
         }
+    } else if (table == "drains") {
+        if (const auto value = read_drain(bytes)) return fmt::format("drains revision={}", value->revision);
     } else if (table == "verdicts") {
         if (const auto value = read_verdict(bytes))
             return fmt::format("{} {}/{}", value->what == Verdict::What::Failing ? "failing" : "unreachable",
@@ -108,6 +110,20 @@
     return Override{static_cast<Override::What>(value->what()), value->percent()};
 }
 
+std::string bytes_of(const Drain& drain) {
+    values::Drain out;
+    out.set_revision(drain.revision);
+    out.set_boot_ms(drain.boot_ms);
+    out.set_source(drain.source);
+    return out.SerializeAsString();
+}
+
+std::optional<Drain> read_drain(const std::string& bytes) {
+    const auto value = parsed<values::Drain>(bytes);
+    if (!value) return std::nullopt;
+    return Drain{value->revision(), value->boot_ms(), value->source()};
+}
+
 std::string bytes_of(const Verdict& verdict) {
     values::Verdict out;
     out.set_what(static_cast<std::uint32_t>(verdict.what));
--- a/src/replica/tables.h
+++ b/src/replica/tables.h
@@ -20,7 +20,7 @@
     const char* reason;  ///< for the rule
 };
 
-constexpr std::array<Table, 4> kTables{{
+constexpr std::array<Table, 5> kTables{{
     {"overrides", Rule::Safer, 2'000, true,
      "of two operators that do not know of each other the one who takes an endpoint out is right: the "
      "other's "
@@ -29,6 +29,8 @@
      "each sidecar writes its own verdict on an endpoint, under a key that ends in its name: the later is "
      "the "
      "better informed"},
+    {"drains", Rule::Latest, 10'000, true,
+     "what discovery has told one sidecar and not yet another; of two witnesses in one place either will do"},
     {"settings", Rule::Latest, 200, true,
      "a document that a person changes is meant as it was last written; what was written beside it is kept "
      "and shown"},
@@ -62,6 +64,15 @@
 };
 std::optional<Override> read_override(const std::string& bytes);
 
+/// An endpoint that discovery no longer lists as ready.
+struct Drain {
+    std::uint64_t revision = 0;  ///< of the list that says so
+    std::int64_t boot_ms = 0;    ///< of the life that this ends
+    std::string source;          ///< the discovery that was asked: revisions of another mean something else
+};
+std::string bytes_of(const Drain& drain);
+std::optional<Drain> read_drain(const std::string& bytes);
+
 /// Of one sidecar on one endpoint.
 struct Verdict {
     enum class What : std::uint8_t { Failing, Unreachable };
