--- a/emulator/state_model.cpp
+++ b/emulator/state_model.cpp
@@ -49,11 +49,12 @@
     return {members_[member]->copy->self(), std::to_string(member)};
 }
 
-void StateModel::start(std::size_t member) {
+void StateModel::start(std::size_t member, replica::Stamp horizon, std::vector<replica::Named> entries) {
     Member& m = *members_[member];
     ++m.starts;
-    m.copy = std::make_unique<Replica>(options_.pace, fleet::Id{"n" + std::to_string(member), random_() | 1},
-                                       m, random_());
+    m.copy = std::make_unique<Replica>(options_.pace,
+                                       fleet::Id{"n" + std::to_string(member), random_() | 1}, m, random_());
+    m.copy->restore(horizon, std::move(entries), wall(member));
     m.copy->tick(now_, wall(member));
     pump(member);
 }
@@ -74,12 +75,7 @@
         kept.push_back({name, entry});
     });
     kill(member);
-    Member& m = *members_[member];
-    m.copy = std::make_unique<Replica>(options_.pace, fleet::Id{"n" + std::to_string(member), random_() | 1},
-                                       m, random_());
-    m.copy->restore(horizon, std::move(kept), wall(member));
-    m.copy->tick(now_, wall(member));
-    pump(member);
+    start(member, horizon, std::move(kept));
 }
 
 void StateModel::partition(const std::set<std::size_t>& group) {
--- a/emulator/state_model.h
+++ b/emulator/state_model.h
@@ -31,7 +31,9 @@
 
     explicit StateModel(const Options& options);
 
-    void start(std::size_t member);
+    void start(std::size_t member) { start(member, 0, {}); }
+    /// From a disk that kept these.
+    void start(std::size_t member, replica::Stamp horizon, std::vector<replica::Named> entries);
     void start_all();
     /// With all that it held.
     void kill(std::size_t member);
--- a/src/replica/message.cpp
+++ b/src/replica/message.cpp
@@ -159,6 +159,7 @@
         to.set_sum(range.sum);
         to.set_count(range.count);
         to.set_listed(range.listed);
+        for (const std::uint64_t part : range.parts) to.add_parts(part);
     }
     for (const Head& head : message.heads) {
         wire::Head& to = *out.add_heads();
@@ -190,8 +191,14 @@
     if (in.size() > 0)
         read_entries(framing::parsed<wire::Entries>(unpack(in.packed(), in.size())), message.entries);
     for (const auto& range : in.ranges()) {
-        if (range.level() > 16) throw FrameError("a range is too deep");
-        message.ranges.push_back({range.level(), range.prefix(), range.sum(), range.count(), range.listed()});
+        if (range.level() > 16 || (range.parts_size() != 0 && range.parts_size() != 16))
+            throw FrameError("a range can't be used");
+        message.ranges.push_back({range.level(),
+                                  range.prefix(),
+                                  range.sum(),
+                                  range.count(),
+                                  range.listed(),
+                                  {range.parts().begin(), range.parts().end()}});
     }
     for (const auto& head : in.heads()) message.heads.push_back({head.place(), head.hash(), head.stamp()});
     message.want.assign(in.want().begin(), in.want().end());
--- a/src/replica/message.h
+++ b/src/replica/message.h
@@ -12,7 +12,7 @@
 
 /// Bytes of entries in one message: with its ranges it stays within a frame.
 constexpr std::size_t kMostBatch = 48 * 1024;
-constexpr std::size_t kMostRanges = 512, kMostHeads = 1024, kMostWant = 1024;
+constexpr std::size_t kMostRanges = 512, kMostHeads = 2048, kMostWant = 2048;
 
 struct Name {
     std::string table, key;
@@ -28,7 +28,8 @@
 struct Range {
     std::uint32_t level = 0;
     std::uint64_t prefix = 0, sum = 0, count = 0;
-    bool listed = false;  ///< its entries' heads come with it
+    bool listed = false;               ///< its entries' heads come with it
+    std::vector<std::uint64_t> parts;  ///< the sums of its 16 parts, or none
 };
 
 struct Head {
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -6,12 +6,14 @@
 
 namespace {
 
-constexpr std::size_t kListed = 32;  // entries of both sides in a range whose heads are listed, not its parts
+constexpr std::size_t kListed = 16;  // entries in a range whose heads are listed, not its parts' sums
+constexpr std::size_t kRangeBytes = 32, kHeadBytes = 30;  // on the wire
+constexpr Duration kCompareAgain = 50ms;                  // after an answer that was cut short
 constexpr std::size_t kMostPage = 16 * 1024;  // bytes before packing: some 2 ms of the loop at the taker
 constexpr std::size_t kPagesOfOne = 8;        // then another gives
 constexpr Duration kPagePatience = 500ms;     // then another is asked
 constexpr Duration kBusyPause = 200ms;        // after a giver that has no bytes left to give
-constexpr std::size_t kFarBehind = 64;        // half of the other's and so many less: pages, not ranges
+constexpr std::size_t kFarBehind = 64, kFarPart = 20;  // a twentieth and so many less: pages, not ranges
 constexpr std::size_t kMostWaiting = 20'000;  // entries to be pushed; over it comparing has to find them
 constexpr std::size_t kMostPending = 256;     // writes that wait for others
 constexpr Duration kAskAgain = 250ms;         // others, for a write that has not got far enough
@@ -363,67 +365,100 @@
     const auto jitter =
         static_cast<Duration::rep>(draw(static_cast<std::uint64_t>(pace_.compare_every.count())));
     compare_at_ = now + pace_.compare_every / 2 + Duration{jitter};
-    const auto others = company_.some(1);
-    if (others.empty()) return;
+    std::optional<Other> with = std::exchange(compare_with_, std::nullopt);
+    if (!with) {
+        const auto others = company_.some(1);
+        if (others.empty()) return;
+        with = others[0];
+    }
     Message message;
     message.kind = Message::Kind::Ranges;
     const Digests::Sum all = held_.digests().of(0, 0);
-    message.ranges.push_back({0, 0, all.sum, all.count, false});
-    send(others[0], std::move(message));
+    message.ranges.push_back({0, 0, all.sum, all.count, false, {}});
+    send(*with, std::move(message));
 }
 
+/// The reply's bytes so far are counted, and what finds no room is left for the next time.
+struct Replica::Answer {
+    Message reply;
+    std::size_t bytes = 0;
+    bool cut_short = false;
+    std::vector<Name> give;
+    bool room(std::size_t more) {
+        if (bytes + more > kMostBatch) {
+            cut_short = true;
+            return false;
+        }
+        bytes += more;
+        return true;
+    }
+};
+
 void Replica::compared(Time now, Wall wall, const Other& from, const Message& message) {
-    Message reply, want;
-    reply.kind = Message::Kind::Ranges;
-    want.kind = Message::Kind::Want;
-    std::vector<Name> names;
+    Answer answer;
+    answer.reply.kind = Message::Kind::Ranges;
     for (const Range& range : message.ranges) {
         if (range.level > Digests::kLevels) continue;
         if (range.listed) {
-            listed(wall, message, range, reply, names);
-            continue;
-        }
-        const Digests::Sum mine = held_.digests().of(range.level, range.prefix);
-        const Digests::Sum theirs{range.sum, range.count};
-        if (mine == theirs) {
-            if (range.level == 0) agreed();
-            continue;
-        }
-        if (range.level == 0 && 2 * mine.count + kFarBehind < theirs.count) {
-            begin_fetch(now, from);
-            continue;
-        }
-        if (reply.ranges.size() + Digests::kBranches > kMostRanges) break;  // the next time
-        if (range.level == 0 && 2 * theirs.count + kFarBehind < mine.count) {
-            reply.ranges.push_back({0, 0, mine.sum, mine.count, false});  // it will fetch
-        } else if (range.level == Digests::kLevels || mine.count + theirs.count <= kListed) {
-            if (reply.heads.size() + mine.count <= kMostHeads) list(range, reply);
-        } else {
+            listed(wall, message, range, answer);
+        } else if (!range.parts.empty() && range.level < Digests::kLevels) {
             for (std::uint64_t branch = 0; branch < Digests::kBranches; ++branch) {
                 const std::uint64_t prefix = range.prefix << Digests::kBranchBits | branch;
-                const Digests::Sum part = held_.digests().of(range.level + 1, prefix);
-                reply.ranges.push_back({range.level + 1, prefix, part.sum, part.count, false});
+                if (held_.digests().of(range.level + 1, prefix).sum != range.parts[branch])
+                    descend(range.level + 1, prefix, answer);
+            }
+        } else if (range.level == 0) {
+            const Digests::Sum mine = held_.digests().of(0, 0);
+            if (mine == Digests::Sum{range.sum, range.count}) {
+                agreed();
+            } else if (mine.count + range.count / kFarPart + kFarBehind < range.count) {
+                begin_fetch(now, from);
+            } else if (range.count + mine.count / kFarPart + kFarBehind < mine.count) {
+                answer.reply.ranges.push_back({0, 0, mine.sum, mine.count, false, {}});  // it will fetch
+            } else {
+                descend(0, 0, answer);
             }
         }
     }
-    want.want = std::exchange(reply.want, {});
-    if (!reply.ranges.empty()) send(from, std::move(reply));
+    Message want;
+    want.kind = Message::Kind::Want;
+    want.want = std::exchange(answer.reply.want, {});
+    if (!answer.reply.ranges.empty()) send(from, std::move(answer.reply));
     if (!want.want.empty()) send(from, std::move(want));
-    give(now, from, names);
+    give(now, from, answer.give);
+    if (!answer.cut_short) return;
+    // What found no room is looked for once these are repaired.
+    compare_with_ = from;
+    compare_at_ = std::min(compare_at_, now + kCompareAgain);
 }
 
-void Replica::list(const Range& range, Message& reply) const {
-    const Digests::Sum mine = held_.digests().of(range.level, range.prefix);
-    reply.ranges.push_back({range.level, range.prefix, mine.sum, mine.count, true});
-    const std::uint64_t last = Digests::last_of(range.level, range.prefix);
-    for (auto it = held_.places().lower_bound(Digests::first_of(range.level, range.prefix));
+void Replica::descend(std::uint32_t level, std::uint64_t prefix, Answer& answer) const {
+    const Digests::Sum mine = held_.digests().of(level, prefix);
+    if (level == Digests::kLevels || mine.count <= kListed) {
+        if (answer.room(kRangeBytes + mine.count * kHeadBytes) &&
+            answer.reply.heads.size() + mine.count <= kMostHeads && answer.reply.ranges.size() < kMostRanges)
+            list(level, prefix, answer.reply);
+        return;
+    }
+    if (answer.reply.ranges.size() >= kMostRanges || !answer.room(kRangeBytes + 8 * Digests::kBranches))
+        return;
+    Range range{level, prefix, mine.sum, mine.count, false, {}};
+    for (std::uint64_t branch = 0; branch < Digests::kBranches; ++branch)
+        range.parts.push_back(held_.digests().of(level + 1, prefix << Digests::kBranchBits | branch).sum);
+    answer.reply.ranges.push_back(std::move(range));
+}
+
+void Replica::list(std::uint32_t level, std::uint64_t prefix, Message& reply) const {
+    const Digests::Sum mine = held_.digests().of(level, prefix);
+    reply.ranges.push_back({level, prefix, mine.sum, mine.count, true, {}});
+    const std::uint64_t last = Digests::last_of(level, prefix);
+    for (auto it = held_.places().lower_bound(Digests::first_of(level, prefix));
          it != held_.places().end() && it->first <= last; ++it)
         reply.heads.push_back({it->first, it->second->second.hash, it->second->second.entry.latest()});
 }
 
 /// `range` as the other has it, with all heads.
-void Replica::listed(Wall wall, const Message& message, const Range& range, Message& reply,
-                     std::vector<Name>& give) {
+void Replica::listed(Wall wall, const Message& message, const Range& range, Answer& answer) {
     const std::uint64_t first = Digests::first_of(range.level, range.prefix);
     const std::uint64_t last = Digests::last_of(range.level, range.prefix);
     std::map<std::uint64_t, const Head*> theirs;
@@ -440,10 +475,10 @@
             if (held.entry.latest() <= message.horizon && message.horizon > horizon_) {
                 drop.push_back(it->second->first);
             } else {
-                give.push_back(it->second->first);
+                answer.give.push_back(it->second->first);
             }
         } else if (head->second->hash != held.hash) {
-            give.push_back(it->second->first);
+            answer.give.push_back(it->second->first);
         }
     }
     for (const auto& [place, head] : theirs) {
@@ -451,8 +486,8 @@
         if (mine != held_.places().end() && mine->second->second.hash == head->hash) continue;
         if (mine == held_.places().end() && head->stamp <= horizon_ && horizon_ > message.horizon) {
             tell_back = true;
-        } else if (reply.want.size() < kMostWant) {
-            reply.want.push_back(place);
+        } else if (answer.reply.want.size() < kMostWant) {
+            answer.reply.want.push_back(place);
         }
     }
     for (const Name& name : drop) {
@@ -460,7 +495,10 @@
         note({wall, name, Learnt::What::Dropped, {}, {}, "older than what others keep"});
         erase(name);
     }
-    if (tell_back && reply.ranges.size() < kMostRanges) list(range, reply);
+    const std::size_t heads = held_.digests().of(range.level, range.prefix).count;
+    if (tell_back && answer.reply.ranges.size() < kMostRanges &&
+        answer.room(kRangeBytes + heads * kHeadBytes))
+        list(range.level, range.prefix, answer.reply);
 }
 
 void Replica::give(Time now, const Other& to, const std::vector<Name>& names) {
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -164,9 +164,10 @@
     void ask(Time now, std::uint64_t ticket, Pending& pending);
     void compare(Time now);
     void compared(Time now, Wall wall, const Other& from, const Message& message);
-    void listed(Wall wall, const Message& message, const Range& range, Message& reply,
-                std::vector<Name>& give);
-    void list(const Range& range, Message& reply) const;
+    struct Answer;
+    void listed(Wall wall, const Message& message, const Range& range, Answer& answer);
+    void descend(std::uint32_t level, std::uint64_t prefix, Answer& answer) const;
+    void list(std::uint32_t level, std::uint64_t prefix, Message& reply) const;
     void give(Time now, const Other& to, const std::vector<Name>& names);
     void give_page(Time now, const Other& to, std::uint64_t from);
     void begin_fetch(Time now, const Other& from);
@@ -198,6 +199,7 @@
 
     std::map<std::uint64_t, Pending> pending_;
     std::optional<Fetch> fetch_;
+    std::optional<Other> compare_with_;
     Time started_{}, flush_at_{}, compare_at_{}, advance_at_{};
     std::optional<Time> majority_since_;
     Stamp horizon_ = 0;
--- a/src/replica/tables.h
+++ b/src/replica/tables.h
@@ -38,10 +38,10 @@
      "an epoch that goes back would let in whoever was shut out: the greatest alone counts, and none is "
      "deleted"},
 }};
-/// Of a table that this build does not know; its rule comes with its entries.
-constexpr std::size_t kMostOfUnknown = 5'000;
 /// Entries of all tables: 100,000 were measured.
 constexpr std::size_t kMostEntries = 150'000;
+/// Of a table that this build does not know; its rule comes with its entries.
+constexpr std::size_t kMostOfUnknown = kMostEntries;
 
 const Table* table_named(std::string_view name);
 
--- a/tools/emulator/main.cpp
+++ b/tools/emulator/main.cpp
@@ -19,6 +19,7 @@
 #include "emulator/socket_transport.h"
 #include "emulator/virtual_transport.h"
 #include "fleet.h"
+#include "state.h"
 
 namespace {
 
@@ -187,6 +188,17 @@
     auto* list_command = app.add_subcommand("list", "the scenarios that come with the program");
     auto* demo_command = app.add_subcommand("demo", "an incident of 20 s on real sockets");
     add_play(demo_command);
+    StateWords state;
+    bool bare_state = false;
+    auto* state_command = app.add_subcommand(
+        "state", "copies of the shared state in virtual time: how soon all have a write, or one catches up");
+    state_command->add_option("--members", state.members, "processes")->check(CLI::Range(2, 5000));
+    state_command->add_option("--entries", state.entries, "that all hold from the start")
+        ->check(CLI::Range(0, 150'000));
+    state_command->add_option("--behind", state.behind, "share of them that one member lacks")
+        ->check(CLI::Range(0.0, 1.0));
+    state_command->add_option("--seed", state.seed);
+    state_command->add_flag("--bare", bare_state, "without the head");
     FleetWords fleet;
     bool bare = false;
     auto* fleet_command = app.add_subcommand(
@@ -216,6 +228,8 @@
         if (*check_command) return check(files);
         if (*list_command) return list();
         fleet.head = !bare;
+        state.head = !bare_state;
+        if (*state_command) return measure_state(state);
         if (*fleet_command) return measure_fleet(fleet);
         if (*demo_command) {
             options.file = kDemo;
