--- a/tests/emulator/socket_emulation_test.cpp
+++ b/tests/emulator/socket_emulation_test.cpp
@@ -73,6 +73,18 @@
     EXPECT_TRUE(real.expectations_met()) << to_text(real);
 }
 
+TEST(SocketEmulation, SidecarsThatDiscoveryIsSilentToLearnOfDrainsFromTheOthers) {
+    const Scenario script = scenario("fleet-drains");
+    const Report told = on_sockets(script);
+    EXPECT_TRUE(told.rules_kept()) << to_text(told);
+    EXPECT_TRUE(told.expectations_met()) << to_text(told);
+    Scenario alone = script;
+    alone.sidecars.fleet_fields.clear();
+    const Report untold = on_sockets(alone);
+    EXPECT_TRUE(untold.rules_kept()) << to_text(untold);
+    EXPECT_GT(untold.to_drained, 10u) << to_text(untold);
+}
+
 TEST(SocketEmulation, ProgramThatIsNotThereIsSaidPlainly) {
     SocketPlayOptions options;
     options.program = "/nowhere/martenford";
