--- a/emulator/state_model.cpp
+++ b/emulator/state_model.cpp
@@ -52,8 +52,8 @@
 void StateModel::start(std::size_t member, replica::Stamp horizon, std::vector<replica::Named> entries) {
     Member& m = *members_[member];
     ++m.starts;
-    m.copy = std::make_unique<Replica>(options_.pace,
-                                       fleet::Id{"n" + std::to_string(member), random_() | 1}, m, random_());
+    m.copy = std::make_unique<Replica>(options_.pace, fleet::Id{"n" + std::to_string(member), random_() | 1},
+                                       m, random_());
     m.copy->restore(horizon, std::move(entries), wall(member));
     m.copy->tick(now_, wall(member));
     pump(member);
