--- a/emulator/fleet_rig.cpp
+++ b/emulator/fleet_rig.cpp
@@ -179,9 +179,13 @@
     std::string seeds;
     for (std::size_t i = 0; i < std::min(options_.seeds, options_.members); ++i)
         seeds += fmt::format("{}\"{}\"", i ? ", " : "", net_.advertised(i));
+    const std::string called = name.empty() ? fmt::format("n{}", index) : name;
+    std::string fields = options_.fleet;
+    for (auto at = fields.find("{name}"); at != fields.npos; at = fields.find("{name}", at))
+        fields.replace(at, 6, called);
     const std::string own =
         fmt::format("[fleet]\nname = \"rig\"\nlisten = \"{}:0\"\nadvertise = \"{}\"\nseeds = [{}]\n{}\n",
-                    RelayNet::host_of(index), net_.advertised(index), seeds, options_.fleet);
+                    RelayNet::host_of(index), net_.advertised(index), seeds, fields);
     member.boot.clear();
     member.beliefs.clear();
     member.alive.clear();
@@ -189,7 +193,6 @@
     member.last_turn = 0;
     member.stopped = member.ending = member.asking = false;
     done(index, "started");
-    const std::string called = name.empty() ? fmt::format("n{}", index) : name;
     std::string directory;
     if (options_.directories) {
         directory = options_.folder + "/of-" + called;
--- a/emulator/fleet_rig.h
+++ b/emulator/fleet_rig.h
@@ -26,7 +26,7 @@
         std::size_t members = 5;
         std::size_t seeds = 2;  ///< members that all know from the start
         std::uint64_t seed = 1;
-        std::string fleet;   ///< more fields of [fleet], as TOML
+        std::string fleet;   ///< more fields of [fleet], as TOML; {name} is the member's
         std::string folder;  ///< for the files of processes
         bool directories =
             false;  ///< one for each name: a second process of a name takes over from the first
--- a/src/assembly/features.cpp
+++ b/src/assembly/features.cpp
@@ -153,6 +153,8 @@
     from.whole("kb_a_second", kb, 64, 64 * 1024);
     pace.bytes_a_second = kb * 1024;
     from.text("registry", result.registry);
+    from.text("directory", result.directory);
+    from.text("helper", result.helper);
     if (pace.tombstones < kLeastTombstones)
         from.fail("'tombstones' is under 10s: a pause would bring deleted entries back");
     from.end();
--- a/src/core/events.cpp
+++ b/src/core/events.cpp
@@ -126,6 +126,12 @@
          "This process was suspected, and has refuted it"},
         {StateCaughtUp, "MF120", "state.caught_up", Weight::Info, kRare,
          "It has had all shared state that another sidecar had"},
+        {StateUnkept, "MF121", "state.unkept", Weight::Error, kRare,
+         "Shared state is not kept on disk now; it is shared all the same"},
+        {StateKept, "MF122", "state.kept", Weight::Info, kRare, "Shared state is kept on disk again"},
+        {StateAside, "MF123", "state.aside", Weight::Error, kRare,
+         "A copy on disk, or entries of it, can't be used: old, damaged, of another fleet or a later "
+         "version"},
         {LinesLost, "MF900", "log.lost", Weight::Warning, kRare, "Nobody read the log fast enough"}};
     return kinds;
 }
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -38,6 +38,9 @@
     FleetStood,
     FleetAccused,
     StateCaughtUp,
+    StateUnkept,
+    StateKept,
+    StateAside,
     LinesLost
 };
 
--- a/src/ledger/writer_link.cpp
+++ b/src/ledger/writer_link.cpp
@@ -1,7 +1,6 @@
 #include "ledger/writer_link.h"
 
 #include <fcntl.h>
-#include <spawn.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -11,14 +10,12 @@
 #include <climits>
 #include <csignal>
 #include <cstring>
-#include <filesystem>
 #include <utility>
 #include <vector>
 
 #include "core/events.h"
 #include "core/wall_clock.h"
-
-extern char** environ;
+#include "helper/helper.h"
 
 namespace martenford::ledger {
 
@@ -28,7 +25,6 @@
 
 constexpr std::size_t kMostWrite = 64 * 1024;  // handed to the socket at once
 constexpr Duration kReapAgain = 50ms;          // a killed writer may hang in the kernel: it is not waited for
-constexpr const char* kHelper = "martenford-ledger";
 
 std::string milliseconds(Duration d) {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
@@ -36,12 +32,6 @@
 
 }  // namespace
 
-std::string helper_beside_this_program() {
-    std::error_code ignored;
-    const auto self = std::filesystem::read_symlink("/proc/self/exe", ignored);
-    return (self.parent_path() / kHelper).string();
-}
-
 WriterLink::WriterLink(Loop& loop, const Options& options, const std::string& sidecar, std::uint64_t boot,
                        Counters& counters)
     : loop_(loop),
@@ -118,27 +108,8 @@
                                    "--keep-archives-ms",
                                    milliseconds(options_.keep_archives)};
     if (heir_) words.push_back("--heir");
-    std::vector<char*> arguments;
-    for (std::string& word : words) arguments.push_back(word.data());
-    arguments.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, descriptor, 3);
-    // Guards against a writer that outlives its sidecar and holds its listener: connections would come up to
-    // nobody.
-    posix_spawn_file_actions_addclosefrom_np(&actions, 4);
-    // A group of its own: what ends the sidecar's group must not end it before it has kept what it was sent.
-    posix_spawnattr_t attributes;
-    posix_spawnattr_init(&attributes);
-    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETPGROUP);
-    posix_spawnattr_setpgroup(&attributes, 0);
-    const int fault =
-        ::posix_spawn(&writer_, helper.c_str(), &actions, &attributes, arguments.data(), environ);
-    posix_spawnattr_destroy(&attributes);
-    posix_spawn_file_actions_destroy(&actions);
-    if (fault == 0) return true;
-    writer_ = -1;
-    return false;
+    writer_ = start_helper(std::move(words), descriptor);
+    return writer_ > 0;
 }
 
 bool WriterLink::put(Record record) {
--- a/src/ledger/writer_link.h
+++ b/src/ledger/writer_link.h
@@ -18,9 +18,6 @@
 
 namespace martenford::ledger {
 
-/// Where martenford-ledger is unless the configuration says otherwise.
-std::string helper_beside_this_program();
-
 class WriterLink {
   public:
     /// `boot`: of this process, random. Both references outlive it.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -28,6 +28,7 @@
 #include "core/tally.h"
 #include "discovery/discovery.h"
 #include "handover/handover.h"
+#include "helper/helper.h"
 #include "http1/back.h"
 #include "http1/front.h"
 #include "ledger/recorder.h"
@@ -74,7 +75,7 @@
 
 /// The journal's helper, in this process's place: the sidecar itself carries no database.
 int ask_journal(const std::vector<std::string>& words) {
-    std::string helper = ledger::helper_beside_this_program();
+    std::string helper = helper_beside_this_program();
     std::vector<std::string> all{helper};
     all.insert(all.end(), words.begin(), words.end());
     std::vector<char*> arguments;
@@ -109,7 +110,8 @@
                                                       MARTENFORD_VERSION, counters_)
                      : nullptr),
           keeper_(peers_ && features.state
-                      ? std::make_unique<replica::Keeper>(loop_, *features.state, *peers_, counters_)
+                      ? std::make_unique<replica::Keeper>(loop_, *features.state, *peers_,
+                                                          features.fleet->name, counters_)
                       : nullptr),
           discovery_(loop_, telemetry_ ? static_cast<Placement&>(telemetry_->tap) : placement(), engine_,
                      config, membership_options(features, config.settings), counters_),
--- a/src/replica/keeper.cpp
+++ b/src/replica/keeper.cpp
@@ -21,6 +21,7 @@
 constexpr Wall kLeastLife = 10'000;           // milliseconds: an operator's word lasts so long at least,
 constexpr Wall kMostLife = 24 * 3'600'000;    // and at most: what is forgotten ends by itself
 constexpr std::int64_t kMostWithin = 60'000;  // milliseconds that a write may wait for others
+constexpr std::size_t kMostUnsaid = 4096;     // answers that wait for the disk; the oldest then are not given
 constexpr std::size_t kMostRoster = 20'000;
 
 std::uint64_t random_seed() {
@@ -45,7 +46,8 @@
 
 }  // namespace
 
-Keeper::Keeper(Loop& loop, const Options& options, peers::Peers& peers, Counters& counters)
+Keeper::Keeper(Loop& loop, const Options& options, peers::Peers& peers, const std::string& fleet,
+               Counters& counters)
     : loop_(loop),
       options_(options),
       peers_(peers),
@@ -68,9 +70,21 @@
     enter("state.ahead", "messages refused because a clock was ahead",
           [](Copy c) { return c.figures().ahead; });
     enter("state.skipped", "messages that had to wait for bytes", [](Copy c) { return c.figures().skipped; });
+    counters.gauge("state.kept", "1 while what is written here is made durable",
+                   [this] { return shelf_ && shelf_->works() ? 1.0 : 0.0; });
     peers_.on_carried([this](const fleet::Id& from, const std::string& address, const std::string& bytes) {
         arrived(from, address, bytes);
     });
+    if (!options_.directory.empty()) {
+        shelf_.emplace(loop_, options_.helper, options_.directory, fleet, options_.pace.tombstones,
+                       ShelfLink::Calls{[this](ShelfLink::Loaded&& loaded) {
+                                            if (copy_) return absorb(std::move(loaded));
+                                            loaded_ = std::move(loaded);
+                                            look();
+                                        },
+                                        [this](std::uint64_t seq) { kept(seq); }});
+        shelf_->start();
+    }
     look();
 }
 
@@ -96,10 +110,16 @@
 
 bool Keeper::begin() {
     if (copy_) return true;
-    if (!peers_.fleet()) return false;
+    if (!peers_.fleet() || (shelf_ && !loaded_)) return false;
     copy_.emplace(options_.pace, peers_.fleet()->self().id, static_cast<Company&>(*this), random_seed());
     guidance_.emplace(*copy_, peers_.fleet()->self().id.name, options_.registry, random_seed());
     began_ = loop_.now();
+    if (loaded_) {
+        from_disk_ = !loaded_->entries.empty();
+        copy_->restore(loaded_->horizon, std::move(loaded_->entries), wall_now());
+        loaded_.reset();
+        if (shelf_->works()) keep_all();  // without what was damaged, or is over
+    }
     copy_->tick(began_, wall_now());
     return true;
 }
@@ -140,16 +160,29 @@
             copy_->write(now, wall_now(), std::move(write));
         copy_->tick(now, wall_now());  // what is new goes out at once
     }
+    const std::set<Name> changes = copy_->take_changes();
+    if (shelf_) keep(changes);
+    const auto when_kept = [this](std::function<void()> what) {
+        if (!shelf_ || kept_ >= last_keep_) return what();
+        unsaid_.emplace_back(last_keep_, std::move(what));
+        if (unsaid_.size() > kMostUnsaid) unsaid_.pop_front();
+    };
     for (Replica::Send& send : copy_->take_sends()) {
         std::string bytes = bytes_of(send.message);
-        bytes_out_.add(bytes.size());
-        peers_.carry(send.to.address, std::move(bytes));
+        const auto carry = [this, address = send.to.address, bytes = std::move(bytes)] {
+            bytes_out_.add(bytes.size());
+            peers_.carry(address, bytes);
+        };
+        // Whoever is told that it is held here may count on it after a crash.
+        send.message.kind == Message::Kind::Got ? when_kept(carry) : carry();
     }
     for (const Replica::Outcome& outcome : copy_->take_outcomes()) {
-        outcomes_[outcome.ticket] = outcome;
-        if (outcomes_.size() > kMostOutcomes) outcomes_.erase(outcomes_.begin());
+        when_kept([this, outcome] {
+            outcomes_[outcome.ticket] = outcome;
+            if (outcomes_.size() > kMostOutcomes) outcomes_.erase(outcomes_.begin());
+        });
     }
-    guide_all(copy_->take_changes());
+    guide_all(changes);
     if (copy_->caught_up() && !std::exchange(told_caught_up_, true))
         tell(Event::StateCaughtUp, fmt::format("state: caught up, {} entries", copy_->size()),
              {{"ms", std::to_string((loop_.now() - began_) / 1ms)}});
@@ -159,6 +192,44 @@
     tick_.set(std::max(when, now), [this] { pump(); });
 }
 
+void Keeper::keep(const std::set<Name>& names) {
+    if (names.empty()) return;
+    std::vector<Named> entries;
+    std::vector<Name> gone;
+    for (const Name& name : names) {
+        if (const Entry* entry = copy_->find(name)) {
+            entries.push_back({name, *entry});
+        } else {
+            gone.push_back(name);
+        }
+    }
+    last_keep_ = shelf_->keep(copy_->horizon(), entries, gone);
+}
+
+/// A helper was lost and is there again, or is there for the first time after all.
+void Keeper::absorb(ShelfLink::Loaded&& loaded) {
+    copy_->absorb(wall_now(), loaded.horizon, loaded.entries);
+    keep_all();
+    pump();
+}
+
+/// The helper is new, or what it has is not all that is here.
+void Keeper::keep_all() {
+    if (!copy_) return;
+    std::vector<Named> entries;
+    copy_->each("", [&](const Name& name, const Entry& entry) { entries.push_back({name, entry}); });
+    last_keep_ = shelf_->keep(copy_->horizon(), entries, {}, true);
+}
+
+void Keeper::kept(std::uint64_t seq) {
+    kept_ = std::max(kept_, seq);
+    while (!unsaid_.empty() && unsaid_.front().first <= kept_) {
+        const auto say = std::move(unsaid_.front().second);
+        unsaid_.pop_front();
+        say();
+    }
+}
+
 void Keeper::guide_all(const std::set<Name>& names) {
     if (!on_guide_) return;
     std::set<std::string> uids;
@@ -304,9 +375,14 @@
     const auto digest = copy_->digest();
     const auto& figures = copy_->figures();
     return fmt::format(
-        "name={} boot={:016x} digest={:016x} entries={} caught_up={} fetching={} waiting={} live={} known={} "
+        "name={} boot={:016x} digest={:016x} entries={} caught_up={} from_disk={} kept={} fetching={} "
+        "waiting={} live={} known={} "
         "horizon_ms={} ahead={} merged={} repairs={} pages={} dropped={} purged={} full={} skipped={}\n",
         copy_->self().name, copy_->self().boot, digest.sum, digest.count, copy_->caught_up() ? 1 : 0,
+        from_disk_ ? 1 : 0,
+        !shelf_           ? "off"
+        : shelf_->works() ? "on"
+                          : "no",
         copy_->fetching() ? 1 : 0, copy_->waiting(), live(), known(), wall_of(copy_->horizon()),
         copy_->ahead() ? escaped(copy_->ahead()->first) : "", figures.merged, figures.repairs, figures.pages,
         figures.dropped, figures.purged, figures.full, figures.skipped);
--- a/src/replica/keeper.h
+++ b/src/replica/keeper.h
@@ -2,6 +2,7 @@
 // says of endpoints. What is decided is replica::Replica's and replica::Guidance's.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -15,13 +16,15 @@
 #include "replica/guidance.h"
 #include "replica/options.h"
 #include "replica/replica.h"
+#include "replica/shelf_link.h"
 
 namespace martenford::replica {
 
 class Keeper : private Company {
   public:
-    /// `options` and `peers` outlive it.
-    Keeper(Loop& loop, const Options& options, peers::Peers& peers, Counters& counters);
+    /// `fleet`: its name. `options` and `peers` outlive it.
+    Keeper(Loop& loop, const Options& options, peers::Peers& peers, const std::string& fleet,
+           Counters& counters);
     ~Keeper() override;
 
     /// Called for endpoints whose guide may have changed.
@@ -47,6 +50,10 @@
     void pump();
     void look_round();
     void arrived(const fleet::Id& from, const std::string& address, const std::string& bytes);
+    void keep(const std::set<Name>& names);
+    void kept(std::uint64_t seq);
+    void keep_all();
+    void absorb(ShelfLink::Loaded&& loaded);
     void guide_all(const std::set<Name>& names);
     std::string put(std::string_view words, bool deleted);
     std::string tables() const;
@@ -63,6 +70,12 @@
     std::function<void(const std::string&, const Guide&)> on_guide_;
     std::map<std::string, Time> roster_;  ///< names, with when they were last alive
     std::map<std::uint64_t, Replica::Outcome> outcomes_;
+    std::optional<ShelfLink> shelf_;
+    std::optional<ShelfLink::Loaded> loaded_;  ///< until the copy is there
+    bool from_disk_ = false;
+    std::uint64_t last_keep_ = 0, kept_ = 0;
+    /// What must not be said before so much is kept.
+    std::deque<std::pair<std::uint64_t, std::function<void()>>> unsaid_;
     Timer tick_, round_;
     Time began_{};
     bool told_caught_up_ = false, pumping_ = false;
--- a/src/replica/message.cpp
+++ b/src/replica/message.cpp
@@ -215,6 +215,10 @@
     return out.SerializeAsString();
 }
 
+Named read_named(std::string_view bytes) {
+    return read_entry(framing::parsed<wire::Entry>(bytes));
+}
+
 std::size_t size_of(const Named& entry) {
     std::size_t size = kOverhead + entry.name.table.size() + entry.name.key.size();
     for (const Version& version : entry.entry.versions)
--- a/src/replica/message.h
+++ b/src/replica/message.h
@@ -64,6 +64,8 @@
 Message read_message(std::string_view bytes);
 /// As they are hashed, and as they are kept.
 std::string bytes_of(const Named& entry);
+/// Throws framing::FrameError where it is none.
+Named read_named(std::string_view bytes);
 /// How many bytes it takes at least in a message.
 std::size_t size_of(const Named& entry);
 /// Alike where two copies have the same versions, whatever else they know.
--- a/src/replica/options.h
+++ b/src/replica/options.h
@@ -22,6 +22,8 @@
     /// Of the registry whose lists the sidecars are told, by whichever agents: revisions of two can't be
     /// compared, and hints among those of another name say nothing.
     std::string registry;
+    std::string directory;  ///< where this sidecar's copy is kept; empty: nowhere
+    std::string helper;     ///< empty: martenford-ledger beside this program
 };
 
 }  // namespace martenford::replica
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -645,12 +645,22 @@
     return entry ? entry->resolve(wall) : nullptr;
 }
 
+void Replica::absorb(Wall wall, Stamp horizon, const std::vector<Named>& entries) {
+    for (const Named& entry : entries) {
+        const bool sound = std::all_of(entry.entry.versions.begin(), entry.entry.versions.end(),
+                                       [&](const Version& v) { return clock_.saw(v.stamp, wall); });
+        if (sound) take(wall, entry, horizon, From::Repair);
+    }
+}
+
 void Replica::restore(Stamp horizon, std::vector<Named> entries, Wall wall) {
     horizon_ = horizon;
     for (Named& entry : entries) {
         const bool sound = std::all_of(entry.entry.versions.begin(), entry.entry.versions.end(),
                                        [&](const Version& v) { return clock_.saw(v.stamp, wall); });
-        if (!sound || entry.entry.versions.empty() || held_.places().contains(place_of(entry.name))) {
+        const bool over = std::all_of(entry.entry.versions.begin(), entry.entry.versions.end(),
+                                      [&](const Version& v) { return v.ended() <= horizon; });
+        if (!sound || over || held_.places().contains(place_of(entry.name))) {
             ++figures_.made_up;
             continue;
         }
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -135,6 +135,8 @@
     std::set<Name> take_changes() { return std::exchange(changes_, {}); }
 
     /// As a disk kept it, before the first tick. Dots are not reused: the writer is this process.
+    /// The same when it has begun.
+    void absorb(Wall wall, Stamp horizon, const std::vector<Named>& entries);
     void restore(Stamp horizon, std::vector<Named> entries, Wall wall);
 
   private:
--- a/tests/replica/state_process_test.cpp
+++ b/tests/replica/state_process_test.cpp
@@ -34,9 +34,12 @@
 
 class StateOf {
   public:
+    static std::filesystem::path folder_of(std::uint64_t seed) {
+        return std::filesystem::temp_directory_path() / fmt::format("martenford-state-{}-{}", getpid(), seed);
+    }
+    const std::filesystem::path& folder() const { return folder_; }
     explicit StateOf(std::size_t members, std::uint64_t seed = 1, const std::string& fields = {})
-        : folder_(std::filesystem::temp_directory_path() /
-                  fmt::format("martenford-state-{}-{}", getpid(), seed)),
+        : folder_(folder_of(seed)),
           rig(loop, {MARTENFORD, members, 2, seed, "[state]\n" + fields, made(folder_), false, 512}) {
         rig.start_all();
         EXPECT_TRUE(rig.await([&] { return rig.all_agree(); }, kPatience));
@@ -278,6 +281,100 @@
     EXPECT_TRUE(state.all_have("overrides", "e", "-"));
 }
 
+/// With a copy on disk each.
+class KeptState : public StateOf {
+  public:
+    explicit KeptState(std::size_t members, std::uint64_t seed = 1)
+        : StateOf(members, seed,
+                  fmt::format("directory = \"{}/kept-{{name}}\"\n", folder_of(seed).string())) {}
+    std::filesystem::path file(std::size_t member, const std::string& name = "state.db") const {
+        return folder() / fmt::format("kept-n{}", member) / name;
+    }
+    void kill_all() {
+        for (const std::size_t i : rig.all()) rig.kill(i);
+    }
+    /// Until the killed process's helper has kept what it was sent, and ended.
+    bool put_away(std::size_t member) {
+        return rig.await([&] { return !std::filesystem::exists(file(member, "state.db-wal")); }, kPatience);
+    }
+    bool start_all_again() {
+        rig.start_all();
+        return rig.await([&] { return rig.all_agree(); }, kPatience);
+    }
+};
+
+TEST(StateProcesses, WhatWasAnsweredIsThereWhenAllWereKilledAtOnceAndWhatWasDeletedIsNot) {
+    KeptState state(4);
+    ASSERT_EQ(field(state.outcome(1, state.put(1, "settings", "a", "1")), "reached"), "1");
+    ASSERT_EQ(field(state.outcome(1, state.put(1, "settings", "b", "1", "majority within=5000")), "reached"),
+              "1");
+    ASSERT_TRUE(state.all_have("settings", "a", "1"));
+    ASSERT_EQ(field(state.outcome(2, state.remove(2, "settings", "a")), "reached"), "1");
+    ASSERT_EQ(field(state.outcome(3, state.put(3, "settings", "last", "1")), "reached"), "1");
+    state.kill_all();  // the last write may have been told to nobody
+    ASSERT_TRUE(state.start_all_again());
+    EXPECT_TRUE(state.all_have("settings", "last", "1"));
+    EXPECT_TRUE(state.all_have("settings", "b", "1"));
+    EXPECT_TRUE(state.all_have("settings", "a", "-"));
+    EXPECT_EQ(field(state.call(3, "self"), "from_disk"), "1");
+}
+
+TEST(StateProcesses, ADiskRestoredFromABackupCatchesUpAndUsesNoDotTwice) {
+    KeptState state(4);
+    ASSERT_EQ(field(state.outcome(0, state.put(0, "settings", "a", "old")), "reached"), "1");
+    state.rig.kill(0);
+    ASSERT_TRUE(state.put_away(0));
+    const auto backup = state.folder() / "backup";
+    std::filesystem::copy(state.file(0).parent_path(), backup);
+    state.rig.start(0);
+    ASSERT_TRUE(state.rig.await([&] { return state.rig.all_agree(); }, kPatience));
+    for (int i = 0; i < 5; ++i)
+        ASSERT_EQ(field(state.outcome(0, state.put(0, "settings", fmt::format("k{}", i), "1")), "reached"),
+                  "1");
+    ASSERT_TRUE(state.all_have("settings", "k4", "1"));
+    state.remove(2, "settings", "a");
+    state.rig.kill(0);
+    ASSERT_TRUE(state.put_away(0));
+    std::filesystem::remove_all(state.file(0).parent_path());
+    std::filesystem::copy(backup, state.file(0).parent_path());
+    state.rig.start(0);
+    EXPECT_TRUE(state.all_have("settings", "a", "-"));
+    ASSERT_FALSE(state.put(0, "settings", "k0", "new").empty());
+    EXPECT_TRUE(state.all_have("settings", "k0", "new"));
+    EXPECT_TRUE(state.all_have("settings", "k3", "1"));
+    EXPECT_TRUE(state.all_equal());
+}
+
+TEST(StateProcesses, ACopyThatCanNotBeUsedIsSetAsideNamedAndKept) {
+    KeptState state(3);
+    ASSERT_EQ(field(state.outcome(0, state.put(0, "settings", "a", "1", "others=2 within=5000")), "reached"),
+              "1");
+    state.rig.kill(1);
+    ASSERT_TRUE(state.put_away(1));
+    std::FILE* file = std::fopen(state.file(1).c_str(), "w");
+    ASSERT_NE(file, nullptr);
+    std::fputs("this is no database, and long enough to be taken for the head of one", file);
+    std::fclose(file);
+    state.rig.start(1);
+    EXPECT_TRUE(state.all_have("settings", "a", "1"));
+    EXPECT_TRUE(std::filesystem::exists(state.file(1, "state.db.aside-1")));
+    const auto& log = state.rig.log(1);
+    EXPECT_TRUE(std::any_of(log.begin(), log.end(), [](const std::string& line) {
+        return line.find("state.db.aside-1") != line.npos;
+    }));
+    ASSERT_EQ(field(state.outcome(1, state.put(1, "settings", "b", "1")), "reached"), "1");
+}
+
+TEST(StateProcesses, WithoutAHelperNothingIsCalledKeptAndAllElseGoesOn) {
+    StateOf state(3, 1, "directory = \"/proc/no-such-place/{name}\"\n");
+    std::string ticket;
+    ASSERT_TRUE(
+        state.rig.await([&] { return !(ticket = state.put(0, "settings", "a", "1")).empty(); }, kPatience));
+    EXPECT_TRUE(state.all_have("settings", "a", "1"));
+    EXPECT_EQ(field(state.call(0, "outcome " + ticket), "waits"), "1");
+    EXPECT_EQ(field(state.call(0, "self"), "kept"), "no");
+}
+
 TEST(StateProcesses, TheCommandsSayWhatStandsAndWhereTwoDiffer) {
     StateOf state(4);
     const auto run = [&](const std::string& words, std::size_t member, std::string& out) {
