Verdicts: an endpoint that two others ejected is on its last failure here

With [outliers] and [state] a sidecar that ejects an endpoint says so to all; from two other names on, an endpoint has one failure left, and each call that it serves takes one off.

--- a/src/assembly/features.cpp
+++ b/src/assembly/features.cpp
@@ -208,14 +208,18 @@
 }
 
 std::unique_ptr<Policy> make_policy(const loftfront::Settings& settings, std::uint64_t seed,
-                                    const Features& features, Counters& counters) {
+                                    const Features& features, Counters& counters,
+                                    outlier::OutlierPolicy** outliers) {
     loftfront::validate(settings);
     const auto of_module = features.subset ? subset::SubsetPolicy::alone(settings) : settings;
     std::unique_ptr<Policy> policy = std::make_unique<BalancerPolicy>(of_module, seed);
     // Nearest to the module: it remembers those that are used only, and a subset sees what it ejects as
     // failures.
     if (features.outliers) {
-        policy = std::make_unique<outlier::OutlierPolicy>(std::move(policy), *features.outliers, counters);
+        auto within =
+            std::make_unique<outlier::OutlierPolicy>(std::move(policy), *features.outliers, counters);
+        if (outliers) *outliers = within.get();
+        policy = std::move(within);
     }
     if (features.subset) {
         policy =
--- a/src/assembly/features.h
+++ b/src/assembly/features.h
@@ -46,8 +46,10 @@
 Membership::Options membership_options(const Features& features, const loftfront::Settings& settings);
 
 /// The decision module with what is switched on around it. Throws std::invalid_argument, as
-/// loftfront::validate() does.
+/// loftfront::validate() does. `outliers`: gets the one within, which lives as long; null where there is
+/// none.
 std::unique_ptr<Policy> make_policy(const loftfront::Settings& settings, std::uint64_t seed,
-                                    const Features& features, Counters& counters);
+                                    const Features& features, Counters& counters,
+                                    outlier::OutlierPolicy** outliers = nullptr);
 
 }  // namespace martenford
--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -5,6 +5,7 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -41,6 +42,8 @@
     void on_drained(std::function<void(const Membership::Drained&, std::uint64_t)> call) {
         on_drained_ = std::move(call);
     }
+    std::optional<EndpointId> id_of(const std::string& uid) const { return membership_.id_of(uid); }
+    std::optional<std::string> uid_of(EndpointId id) const { return membership_.uid_of(id); }
     /// Whether any endpoint is known to serve.
     bool knows_any() const { return membership_.knows_any(); }
     /// Whether discovery itself has told a list since the start.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -101,7 +101,7 @@
                        ? std::make_unique<Journal>(*features.ledger, config, loop_, back_, counters_)
                        : nullptr),
           engine_(loop_, journal_ ? static_cast<Back&>(journal_->recorder) : back_, config.settings.limits,
-                  make_policy(config.settings, config.seed, features, counters_), tally_),
+                  make_policy(config.settings, config.seed, features, counters_, &outliers_), tally_),
           telemetry_(features.telemetry ? std::make_unique<Telemetry>(*features.telemetry, config, loop_,
                                                                       placement(), counters_)
                                         : nullptr),
@@ -126,6 +126,17 @@
                 if (guide.drains) to.drains = {guide.drains->revision, guide.drains->boot_ms};
                 discovery_.guide(uid, to);
             });
+            if (outliers_) {
+                // Not within the module's own turn: what follows from it is told to the module.
+                outliers_->on_ejected([this](EndpointId id, std::uint32_t failures) {
+                    loop_.add(loop_.now(), [this, id, failures] {
+                        if (const auto uid = discovery_.uid_of(id)) keeper_->ejected(*uid, failures);
+                    });
+                });
+                keeper_->on_convicted([this](const std::string& uid) {
+                    if (const auto id = discovery_.id_of(uid)) outliers_->warn(*id);
+                });
+            }
             discovery_.on_drained([this](const Membership::Drained& drained, std::uint64_t revision) {
                 keeper_->drained(drained.uid, {revision, drained.boot_ms, {}});
             });
@@ -307,6 +318,7 @@
     Tally tally_;
     Http1Back back_;
     std::unique_ptr<Journal> journal_;
+    outlier::OutlierPolicy* outliers_ = nullptr;  // within the engine
     Engine engine_;
     std::unique_ptr<Telemetry> telemetry_;
     std::unique_ptr<peers::Peers> peers_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -41,6 +41,13 @@
     return it == known_.end() ? std::nullopt : std::optional(it->second.id);
 }
 
+std::optional<std::string> Membership::uid_of(EndpointId id) const {
+    for (const auto& [uid, known] : known_) {
+        if (known.id == id) return uid;
+    }
+    return std::nullopt;
+}
+
 /// By the uid alone, as far as two don't meet. Of two uids with one hash the one that came second hashes on,
 /// with the number of the try behind its name: which of them came first may differ between sidecars, and then
 /// those two stand elsewhere in their rings; nothing else does.
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -111,6 +111,8 @@
     std::size_t hinted() const { return hinted_.size(); }
     const Figures& figures() const { return figures_; }
     std::optional<EndpointId> id_of(const std::string& uid) const;
+    /// Looks at all: for what is rare.
+    std::optional<std::string> uid_of(EndpointId id) const;
 
   private:
     struct Known {
--- a/src/outlier/outlier_policy.cpp
+++ b/src/outlier/outlier_policy.cpp
@@ -25,7 +25,8 @@
       options_(options),
       ejections_(counters.counter("outlier.ejections", "endpoints that were ejected")),
       readmissions_(counters.counter("outlier.readmissions", "and let in again when their time was up")),
-      spared_(counters.counter("outlier.spared", "that would have been, had not too many been out")) {
+      spared_(counters.counter("outlier.spared", "that would have been, had not too many been out")),
+      warnings_(counters.counter("outlier.warnings", "times that others had ejected what was in use here")) {
     options_.apart = or_else(options.apart, kApart);
     options_.eject_for = or_else(options.eject_for, kEjectFor);
     options_.eject_most = std::max(or_else(options.eject_most, kEjectMost), options_.eject_for);
@@ -34,6 +35,14 @@
     }
 }
 
+void OutlierPolicy::warn(EndpointId id) {
+    const auto it = records_.find(id);
+    if (it == records_.end() || it->second.out || it->second.count + 1 >= options_.failures) return;
+    it->second.count = options_.failures - 1;
+    it->second.counted = {};  // what it does next counts
+    warnings_.add();
+}
+
 bool OutlierPolicy::ejected(EndpointId id) const {
     const auto it = records_.find(id);
     return it != records_.end() && it->second.out;
@@ -140,6 +149,7 @@
     Endpoint away = record.told;
     away.availability = Availability::Draining;
     tell(now, away, out);
+    if (on_ejected_) on_ejected_(outcome.endpoint, record.count);
 }
 
 void OutlierPolicy::readmit(Time now, std::vector<Action>& out) {
--- a/src/outlier/outlier_policy.h
+++ b/src/outlier/outlier_policy.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <queue>
 #include <unordered_map>
@@ -36,6 +37,13 @@
     void handle(loftfront::Time now, const loftfront::Event& event,
                 std::vector<loftfront::Action>& out) override;
 
+    /// Others have ejected it: it is on its last failure here, and each call that it serves takes one off.
+    /// What they say alone ejects nothing.
+    void warn(loftfront::EndpointId id);
+    /// Called with an endpoint that was ejected here, and its failures.
+    void on_ejected(std::function<void(loftfront::EndpointId, std::uint32_t)> call) {
+        on_ejected_ = std::move(call);
+    }
     bool ejected(loftfront::EndpointId id) const;
     std::size_t ejected_now() const { return ejected_; }
 
@@ -61,7 +69,8 @@
     std::size_t ready_ = 0, ejected_ = 0;
     using Due = std::pair<loftfront::Time, loftfront::EndpointId>;
     std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;  // what is no longer out is passed over
-    Counter &ejections_, &readmissions_, &spared_;
+    std::function<void(loftfront::EndpointId, std::uint32_t)> on_ejected_;
+    Counter &ejections_, &readmissions_, &spared_, &warnings_;
 };
 
 }  // namespace martenford::outlier
--- a/src/replica/guidance.cpp
+++ b/src/replica/guidance.cpp
@@ -46,6 +46,26 @@
     return guide;
 }
 
+bool Guidance::convicted(const std::string& uid, Wall wall, std::size_t live) const {
+    std::set<std::string> witnesses;
+    copy_.each_under({"verdicts", uid + '/'}, [&](const Name& name, const Entry& entry) {
+        const Version* version = entry.resolve(wall);
+        if (!version || name.key.rfind('/') != uid.size() || version->by == name_) return;
+        const auto verdict = read_verdict(version->value);
+        if (verdict && verdict->what == Verdict::What::Failing) witnesses.insert(version->by);
+    });
+    const std::size_t others = std::max<std::size_t>(live, 2) - 1;
+    return witnesses.size() >= std::min(kWitnesses, others);
+}
+
+Write Guidance::verdict(const std::string& uid, std::uint32_t failed, Wall wall) const {
+    Write write;
+    write.name = {"verdicts", uid + '/' + name_};
+    write.value = {bytes_of(Verdict{Verdict::What::Failing, failed, failed}), 0};
+    write.expires = wall + static_cast<Wall>(kVerdictLife / 1ms);
+    return write;
+}
+
 std::vector<std::string> Guidance::due(Wall wall) {
     std::vector<std::string> result;
     while (!ends_.empty() && ends_.begin()->first <= wall) {
--- a/src/replica/guidance.h
+++ b/src/replica/guidance.h
@@ -30,6 +30,8 @@
     static constexpr std::size_t kWitnesses = 2;
     /// A hint's life: by then discovery has told all that it reaches.
     static constexpr Duration kHintLife = 60s;
+    /// A verdict's life: as long as an endpoint is ejected the first time.
+    static constexpr Duration kVerdictLife = 60s;
     /// Witnesses write one after the other, so that the first are enough.
     static constexpr Duration kSpread = 100ms;
 
@@ -40,6 +42,10 @@
     static std::optional<std::string> endpoint_of(const Name& name);
     /// `live`: members of the fleet. Remembers when it will change by itself.
     Guide of(const std::string& uid, Wall wall, std::size_t live);
+    /// Whether enough others have ejected this endpoint of late.
+    bool convicted(const std::string& uid, Wall wall, std::size_t live) const;
+    /// This sidecar has ejected it.
+    Write verdict(const std::string& uid, std::uint32_t failed, Wall wall) const;
     /// Endpoints whose guide may have changed with time.
     std::vector<std::string> due(Wall wall);
 
--- a/src/replica/keeper.cpp
+++ b/src/replica/keeper.cpp
@@ -231,6 +231,15 @@
 }
 
 void Keeper::guide_all(const std::set<Name>& names) {
+    if (on_convicted_) {
+        std::set<std::string> accused;
+        for (const Name& name : names) {
+            if (name.table == "verdicts") accused.insert(name.key.substr(0, name.key.rfind('/')));
+        }
+        for (const std::string& uid : accused) {
+            if (guidance_->convicted(uid, wall_now(), live())) on_convicted_(uid);
+        }
+    }
     if (!on_guide_) return;
     std::set<std::string> uids;
     for (const Name& name : names) {
@@ -239,6 +248,12 @@
     for (const std::string& uid : uids) on_guide_(uid, guidance_->of(uid, wall_now(), live()));
 }
 
+void Keeper::ejected(const std::string& uid, std::uint32_t failed) {
+    if (!begin() || uid.size() + 1 + copy_->self().name.size() > kMostKey) return;
+    copy_->write(loop_.now(), wall_now(), guidance_->verdict(uid, failed, wall_now()));
+    pump();
+}
+
 void Keeper::drained(const std::string& uid, const Drain& drain) {
     if (!begin() || uid.size() + 2 > kMostKey) return;
     guidance_->drained(uid, drain, loop_.now());
--- a/src/replica/keeper.h
+++ b/src/replica/keeper.h
@@ -31,6 +31,10 @@
     void on_guide(std::function<void(const std::string& uid, const Guide&)> call) {
         on_guide_ = std::move(call);
     }
+    /// Called for endpoints that enough others have ejected.
+    void on_convicted(std::function<void(const std::string& uid)> call) { on_convicted_ = std::move(call); }
+    /// This sidecar has ejected it, after so many failures.
+    void ejected(const std::string& uid, std::uint32_t failed);
     /// This sidecar's discovery says so.
     void drained(const std::string& uid, const Drain& drain);
     /// Calls of operators: "state tables", "state get TABLE", "state put ...", "state outcome N",
@@ -68,6 +72,7 @@
     std::optional<Replica> copy_;
     std::optional<Guidance> guidance_;
     std::function<void(const std::string&, const Guide&)> on_guide_;
+    std::function<void(const std::string&)> on_convicted_;
     std::map<std::string, Time> roster_;  ///< names, with when they were last alive
     std::map<std::uint64_t, Replica::Outcome> outcomes_;
     std::optional<ShelfLink> shelf_;
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -114,6 +114,15 @@
             what(it->first, it->second.entry);
         }
     }
+    /// Of a table, those whose key begins so.
+    template <class Each>
+    void each_under(const Name& first, Each&& what) const {
+        const auto& all = held_.entries();
+        for (auto it = all.lower_bound(first); it != all.end(); ++it) {
+            if (it->first.table != first.table || !it->first.key.starts_with(first.key)) break;
+            what(it->first, it->second.entry);
+        }
+    }
     std::size_t size() const { return held_.entries().size(); }
     std::size_t size_of(const std::string& table) const { return held_.size_of(table); }
     std::size_t waiting() const { return dirty_.size(); }
--- a/tests/outlier/outlier_policy_test.cpp
+++ b/tests/outlier/outlier_policy_test.cpp
@@ -79,6 +79,25 @@
     EXPECT_EQ(sidecar.seen(7), Availability::Ready);
 }
 
+TEST(Outlier, OneThatOthersEjectedIsOutAtItsFirstFailureAndNotBefore) {
+    Sidecar sidecar;
+    std::vector<std::uint32_t> told;
+    sidecar.policy.on_ejected(
+        [&](EndpointId id, std::uint32_t) { told.push_back(static_cast<std::uint32_t>(id)); });
+    sidecar.policy.warn(EndpointId{7});
+    sidecar.policy.warn(EndpointId{99});  // known to nobody here
+    EXPECT_EQ(sidecar.seen(7), Availability::Ready);
+    sidecar.outcome(7, Status::Error);
+    EXPECT_EQ(sidecar.seen(7), Availability::Draining);
+    EXPECT_EQ(told, std::vector<std::uint32_t>{7});
+    // What it serves here weighs against what others say.
+    sidecar.policy.warn(EndpointId{8});
+    sidecar.outcome(8, Status::Ok);
+    sidecar.outcome(8, Status::Ok);
+    sidecar.fail(8, 1);
+    EXPECT_EQ(sidecar.seen(8), Availability::Ready);
+}
+
 TEST(Outlier, ABurstOfFailuresIsTheModulesToSeeAndCountsOnce) {
     Sidecar sidecar;
     for (int i = 0; i < 100; ++i) {
--- a/tools/emulator/main.cpp
+++ b/tools/emulator/main.cpp
@@ -20,6 +20,7 @@
 #include "emulator/virtual_transport.h"
 #include "fleet.h"
 #include "state.h"
+#include "verdicts.h"
 
 namespace {
 
@@ -199,6 +200,18 @@
         ->check(CLI::Range(0.0, 1.0));
     state_command->add_option("--seed", state.seed);
     state_command->add_flag("--bare", bare_state, "without the head");
+    VerdictWords verdicts;
+    auto* verdicts_command = app.add_subcommand(
+        "verdicts",
+        "an endpoint that fails some calls of many sidecars: bad calls, verdicts shared and alone");
+    verdicts_command->add_option("--sidecars", verdicts.sidecars)->check(CLI::Range(2, 1000));
+    verdicts_command->add_option("--rate", verdicts.rate, "calls a second of each")
+        ->check(CLI::Range(0.01, 100.0));
+    verdicts_command->add_option("--fails", verdicts.fails, "share of the bad endpoint's calls")
+        ->check(CLI::Range(0.0, 1.0));
+    verdicts_command->add_option("--liars", verdicts.liars, "sidecars that accuse a sound endpoint");
+    verdicts_command->add_option("--seeds", verdicts.seeds)->check(CLI::Range(1, 1000));
+    verdicts_command->add_option("--seconds", verdicts.seconds)->check(CLI::Range(1, 3600));
     FleetWords fleet;
     bool bare = false;
     auto* fleet_command = app.add_subcommand(
@@ -229,6 +242,7 @@
         if (*list_command) return list();
         fleet.head = !bare;
         state.head = !bare_state;
+        if (*verdicts_command) return measure_verdicts(verdicts);
         if (*state_command) return measure_state(state);
         if (*fleet_command) return measure_fleet(fleet);
         if (*demo_command) {
