An endpoint's guide has one end: entries written anew add nothing that stays

Cause: each end that an entry ever had was remembered until it came, so that whoever may write could grow the set without bound by writing one key with other ends. Now one end for each endpoint.

--- a/src/replica/guidance.cpp
+++ b/src/replica/guidance.cpp
@@ -12,8 +12,9 @@
 
 Guide Guidance::of(const std::string& uid, Wall wall, std::size_t live) {
     Guide guide;
+    std::optional<Wall> end;
     const auto note_end = [&](const Version& version) {
-        if (version.expires) ends_.emplace(version.expires, uid);
+        if (version.expires) end = std::min(end.value_or(version.expires), version.expires);
     };
     if (const Version* version = copy_.get({"overrides", uid}, wall)) {
         note_end(*version);
@@ -43,9 +44,20 @@
     for (const auto& [boot, told] : lives) {
         if (told.witnesses.size() >= std::min(kWitnesses, others)) guide.drains = told.least;
     }
+    ends_at(uid, end);
     return guide;
 }
 
+void Guidance::ends_at(const std::string& uid, std::optional<Wall> end) {
+    if (const auto it = end_of_.find(uid); it != end_of_.end()) {
+        ends_.erase({it->second, uid});
+        end_of_.erase(it);
+    }
+    if (!end) return;
+    ends_.emplace(*end, uid);
+    end_of_.emplace(uid, *end);
+}
+
 bool Guidance::convicted(const std::string& uid, Wall wall, std::size_t live) const {
     std::set<std::string> witnesses;
     copy_.each_under({"verdicts", uid + '/'}, [&](const Name& name, const Entry& entry) {
@@ -70,7 +82,7 @@
     std::vector<std::string> result;
     while (!ends_.empty() && ends_.begin()->first <= wall) {
         result.push_back(ends_.begin()->second);
-        ends_.erase(ends_.begin());
+        ends_at(result.back(), std::nullopt);
     }
     return result;
 }
--- a/src/replica/guidance.h
+++ b/src/replica/guidance.h
@@ -61,7 +61,11 @@
     const Replica& copy_;
     const std::string name_, source_;
     std::mt19937_64 random_;
+    /// When each endpoint's guide changes by itself, once for each: whoever writes an entry anew with other
+    /// ends adds nothing.
     std::set<std::pair<Wall, std::string>> ends_;
+    std::map<std::string, Wall> end_of_;
+    void ends_at(const std::string& uid, std::optional<Wall> end);
     std::map<std::string, std::pair<Time, Drain>> seen_;
 };
 
