Dialects of HTTP/1.1 and the retry design as parts that two programs share

Cause: the mesh's data plane carries requests with the present front, engine and back, whose field names and proofs are those of the platform in service; its retry design sat in one file. Change: FrontDialect and BackDialect say what fields mean, the platform's own are SidecarFront and SidecarBack; Desk is what a front hands requests to; answers may keep their heads; policy/budget.h and policy/waits.h hold the bucket, the ration, the jitter and the deadline's buffer. Answers that a dialect calls somebody else's are passed over. No behaviour of the program in service is meant to change.

--- a/src/core/back.h
+++ b/src/core/back.h
@@ -32,6 +32,16 @@
     virtual bool resendable() const { return true; }
 };
 
+/// The head of an endpoint's answer, where the caller is to get it as it came. The engine looks at nothing in
+/// it.
+class AnswerHead {
+  public:
+    AnswerHead() = default;
+    AnswerHead(const AnswerHead&) = delete;
+    AnswerHead& operator=(const AnswerHead&) = delete;
+    virtual ~AnswerHead() = default;
+};
+
 /// How an attempt or a probe ended. Full, ConnectFailed and Moot prove that it never ran.
 struct Result {
     loftfront::Status status = loftfront::Status::Error;
@@ -40,6 +50,8 @@
     std::shared_ptr<Pipe> rest{};           ///< what follows the body; empty: it is whole
     std::optional<std::uint64_t> length{};  ///< of the whole, where the answer says so
     bool kept = false;                      ///< the connection can carry another
+    /// Of an answer that is passed on as it came, one that did not serve among them; else empty.
+    std::shared_ptr<const AnswerHead> head{};
 };
 
 class Back {
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -93,6 +93,13 @@
         post(Lapsed{id});
 }
 
+void Engine::cancel(const RequestId& id, AttemptNumber number) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || number >= it->second.attempts.size()) return;
+    const Attempt& attempt = it->second.attempts[number];
+    if (const auto handle = attempt.handle.lock(); handle && attempt.out) handle->cancel();
+}
+
 /// The module is never entered from within: what arises while its actions run waits here.
 void Engine::post(Event event) {
     events_.push_back(std::move(event));
@@ -116,12 +123,7 @@
             finish(refuse.id, Answer{Answer::Kind::Refused, {}, {}, refuse.retry_after});
         }
         void operator()(const Fail& fail) const { finish(fail.id, Answer{}); }
-        void operator()(const Cancel& cancel) const {
-            const auto it = engine.calls_.find(cancel.id);
-            if (it == engine.calls_.end() || cancel.attempt >= it->second.attempts.size()) return;
-            const Attempt& attempt = it->second.attempts[cancel.attempt];
-            if (const auto handle = attempt.handle.lock(); handle && attempt.out) handle->cancel();
-        }
+        void operator()(const Cancel& cancel) const { engine.cancel(cancel.id, cancel.attempt); }
         void operator()(const SetTimer& timer) const {
             engine.scheduler_.add(
                 timer.at, [&engine = engine, token = timer.token] { engine.post(TimerFired{token}); });
@@ -184,10 +186,14 @@
     if (result.status == Status::Ok) {
         Answer answer{Answer::Kind::Served, std::move(result.body), std::move(result.content_type), {}};
         answer.rest = std::move(result.rest);
+        answer.head = std::move(result.head);
         answer.length = result.length;
         const auto rest = answer.rest;
         // Guards against an endpoint that goes on answering a caller who has left.
         if (!complete(id, std::move(answer), Why::Endpoint) && rest) rest->stop_reading();
+    } else if (result.status == Status::Error && result.head) {
+        call.failure = std::move(result.head);
+        call.failure_body = std::move(result.body);
     } else if (call.message && !call.message->resendable()) {
         // Its body has been handed on and let go: there is nothing left that could be sent.
         const bool never_ran = result.status == Status::Full || result.status == Status::ConnectFailed ||
@@ -208,6 +214,10 @@
     const Reply reply = it == calls_.end() ? nullptr : std::exchange(it->second.reply, nullptr);
     if (!reply) return false;
     it->second.backstop.cancel();
+    if (answer.kind == Answer::Kind::Failed && it->second.failure) {
+        answer.head = std::move(it->second.failure);
+        answer.body = std::move(it->second.failure_body);
+    }
     Tally::Ticket ticket = std::move(it->second.ticket);
     const Tally::End how = answer.kind == Answer::Kind::Served    ? Tally::End::Served
                            : answer.kind == Answer::Kind::Refused ? Tally::End::Refused
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -29,6 +29,23 @@
     Tally::Ticket ticket{};                 ///< where there is a rest: the front says how that ended
     /// Called by the front once the last byte has been written. Empty: nobody wants to know.
     std::function<void()> on_written{};
+    /// Where an endpoint gave this answer, its head; also of one that failed. Empty: the front's own.
+    std::shared_ptr<const AnswerHead> head{};
+};
+
+/// Who takes requests from a front: the engine, or whoever answers calls by itself.
+class Desk {
+  public:
+    using Reply = std::function<void(Answer&&)>;
+
+    virtual ~Desk() = default;
+    /// Takes a request; `reply` is called once, unless the client leaves first. False where one with the same
+    /// id is still under way: then nothing was taken.
+    virtual bool take(loftfront::Request request, std::shared_ptr<const Message> message, Reply reply) = 0;
+    /// All of a request that was taken while it was arriving is here: its client waits until `deadline`.
+    virtual void received(const loftfront::RequestId& id, Time deadline) = 0;
+    /// The client of an open request has gone.
+    virtual void leave(const loftfront::RequestId& id) = 0;
 };
 
 /// Sees the requests that the engine takes, from their beginning to their one answer.
@@ -46,10 +63,8 @@
     virtual void left(const loftfront::RequestId& id) = 0;
 };
 
-class Engine {
+class Engine : public Desk {
   public:
-    using Reply = std::function<void(Answer&&)>;
-
     /// `policy` decides; attempts go through `back`. Both, and the scheduler, outlive what they carry.
     Engine(Scheduler& scheduler, Back& back, const loftfront::Limits& limits, std::unique_ptr<Policy> policy,
            Tally& tally);
@@ -64,17 +79,15 @@
     void observed_by(Observer* observer) { observer_ = observer; }
     void start();
 
-    /// Takes a request; `reply` is called once, unless the client leaves first. False where one with the same
-    /// id is still under way: then nothing was taken.
-    bool take(loftfront::Request request, std::shared_ptr<const Message> message, Reply reply);
-    /// All of a request that was taken while it was arriving is here: its client waits until `deadline`.
-    void received(const loftfront::RequestId& id, Time deadline);
+    bool take(loftfront::Request request, std::shared_ptr<const Message> message, Reply reply) override;
+    void received(const loftfront::RequestId& id, Time deadline) override;
     /// The first attempt of a request that was held goes out: until now it was no work to any endpoint.
     void released(const loftfront::RequestId& id);
-    /// The client of an open request has gone.
-    void leave(const loftfront::RequestId& id);
+    void leave(const loftfront::RequestId& id) override;
     /// Answers an open request at once, without the module: `refused` only where nothing of it can have run.
     void give_up(const loftfront::RequestId& id, bool refused);
+    /// Ends one attempt that is out, as the module's Cancel does: its outcome is Cancelled.
+    void cancel(const loftfront::RequestId& id, loftfront::AttemptNumber attempt);
     void tell(loftfront::Discovered news) {
         if (observer_) observer_->listed(news);
         post(std::move(news));
@@ -94,6 +107,9 @@
         Tally::Ticket ticket;
         Timer backstop;
         std::vector<Attempt> attempts;
+        /// The last answer of an endpoint that did not serve: what the client gets if nothing better comes.
+        std::shared_ptr<const AnswerHead> failure;
+        std::string failure_body;
         bool arriving = false, held = false;  // the module hears Received once it is neither
     };
 
--- a/src/framing/frame.cpp
+++ b/src/framing/frame.cpp
@@ -23,8 +23,8 @@
 
 }  // namespace
 
-std::string frame_of(std::string_view message) {
-    if (message.size() > kMostFrame) throw FrameError("a message is longer than a frame may be");
+std::string frame_of(std::string_view message, std::size_t most) {
+    if (message.size() > most) throw FrameError("a message is longer than a frame may be");
     std::string frame;
     frame.reserve(kFrameHead + message.size());
     put32(frame, static_cast<std::uint32_t>(message.size()));
@@ -37,7 +37,7 @@
     const std::string_view rest = std::string_view(held_).substr(used_);
     if (rest.size() < kFrameHead) return std::nullopt;
     const std::size_t size = get32(rest);
-    if (size > kMostFrame) throw FrameError("a frame is longer than one may be");
+    if (size > most_) throw FrameError("a frame is longer than one may be");
     if (rest.size() < kFrameHead + size) return std::nullopt;
     const std::string_view message = rest.substr(kFrameHead, size);
     if (checksum(message) != get32(rest.substr(4))) throw FrameError("a frame's checksum is wrong");
--- a/src/framing/frame.h
+++ b/src/framing/frame.h
@@ -24,22 +24,26 @@
     using std::runtime_error::runtime_error;
 };
 
-/// The whole frame of a message. Throws FrameError where it is longer than kMostFrame.
-std::string frame_of(std::string_view message);
+/// The whole frame of a message. Throws FrameError where it is longer than `most`.
+std::string frame_of(std::string_view message, std::size_t most = kMostFrame);
 
 /// Takes bytes as they come and gives messages. Holds one frame at most beyond what was fed last.
 class FrameReader {
   public:
+    FrameReader() = default;
+    /// Takes messages of `most` bytes at most.
+    explicit FrameReader(std::size_t most = kMostFrame) : most_(most) {}
     void feed(std::string_view bytes) {
         held_.erase(0, std::exchange(used_, 0));
         held_.append(bytes);
     }
     /// The next whole message, valid until the next feed(). Throws FrameError where the length is over
-    /// kMostFrame or the checksum does not fit.
+    /// that or the checksum does not fit.
     std::optional<std::string_view> next();
     bool empty() const { return used_ == held_.size(); }
 
   private:
+    std::size_t most_ = kMostFrame;
     std::string held_;
     std::size_t used_ = 0;
 };
--- a/src/http1/back.cpp
+++ b/src/http1/back.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "core/transport.h"
+#include "http1/dialect.h"
 
 namespace martenford {
 
@@ -25,12 +26,6 @@
            error == boost::system::errc::too_many_files_open_in_system;
 }
 
-Status classify(const http::response<PieceBody>& answer) {
-    if (answer.result_int() == 200) return Status::Ok;
-    const bool turned_away = answer.result_int() == 503 || answer.result_int() == 504;
-    return turned_away && answer["X-Not-Processed"] == "1" ? Status::Full : Status::Error;
-}
-
 }  // namespace
 
 /// One connection to an endpoint. It carries one request at a time; a read is always pending, so that a close
@@ -190,8 +185,10 @@
         if (error == asio::error::eof && parser_->got_some()) {
             error_code fault;
             parser_->put_eof(fault);
-            if (!fault && parser_->is_done())
-                return stage_ == Stage::Passing ? passed(false) : answered(false);
+            if (!fault && parser_->is_done() && pool_.dialect_.ends_by_close()) {
+                if (stage_ == Stage::Passing) return passed(false);
+                if (const auto status = classify()) return answered(*status, false);
+            }
         }
         if (stage_ == Stage::Passing) return close();  // its caller sees that it is not whole
         finish(Status::Reset);
@@ -209,7 +206,14 @@
             if (++interim_ > kMostInterim) return finish(Status::Error);
             renew(parser_);
         }
-        if (parser_->is_done()) return answered(clean_end());
+        if (parser_->is_done()) {
+            const auto status = classify();
+            if (status) return answered(*status, clean_end());
+            // Guards against taking a late or surplus answer of an earlier request for the one to this.
+            if (++interim_ > kMostInterim || !parser_->keep_alive()) return finish(Status::Reset);
+            renew(parser_);
+            return buffer_.size() > 0 ? parse() : void();
+        }
         if (!parser_->is_header_done()) return;
         const auto& held = parser_->get().body();
         const auto length = parser_->content_length();
@@ -217,12 +221,24 @@
         // for its first bytes. Guards, by the bytes wanted, against lengths that no body follows: those can
         // still go again.
         if (held.size() <= (length && *length > kWholeBody ? kSurelyLong : kWholeBody)) return;
-        const Status status = classify(parser_->get());
-        if (status != Status::Ok) return finish(status);  // its words are no use
+        const auto status = classify();
+        if (!status)
+            return parser_->get().body().clear();  // somebody else's: read to its end and passed over
+        if (*status != Status::Ok) return finish(*status);  // its words are no use
         begin_passing();
     }
     bool clean_end() { return parser_->keep_alive() && buffer_.size() == 0 && clean(); }
 
+    std::optional<Status> classify() { return pool_.dialect_.classify(parser_->get(), message_.get(), id); }
+    std::shared_ptr<const AnswerHead> head_of(const http::response<PieceBody>& answer) const {
+        if (!pool_.dialect_.passes_heads()) return nullptr;
+        auto head = std::make_shared<HttpAnswerHead>();
+        head->status = answer.result_int();
+        head->fields = answer;
+        strip_connection_fields(head->fields);
+        return head;
+    }
+
     void begin_passing() {
         const auto& answer = parser_->get();
         Result result{Status::Ok,
@@ -230,7 +246,8 @@
                       std::string(answer[http::field::content_type]),
                       {},
                       {},
-                      false};
+                      false,
+                      head_of(answer)};
         if (const auto length = parser_->content_length()) result.length = *length;
         result.rest = rest_ = std::make_shared<Pipe>(kMostHeld);
         // Held by its pipe until the answer's end: while its caller is slow it reads nothing, and no handler
@@ -276,11 +293,12 @@
         pool_.put_back(shared_from_this());
     }
 
-    void answered(bool keep) {
+    void answered(Status status, bool keep) {
         auto answer = parser_->release();
         Result result;
-        result.status = classify(answer);
-        if (result.status == Status::Ok) {
+        result.status = status;
+        result.head = head_of(answer);
+        if (result.status == Status::Ok || result.head) {
             result.body = std::move(answer.body());
             result.content_type = std::string(answer[http::field::content_type]);
         }
@@ -335,9 +353,10 @@
     Back::Done done_;
 };
 
-Http1Back::Http1Back(Loop& loop, const loftfront::Limits& limits, std::size_t most, std::size_t per_endpoint,
-                     Counters& counters)
+Http1Back::Http1Back(Loop& loop, BackDialect& dialect, const loftfront::Limits& limits, std::size_t most,
+                     std::size_t per_endpoint, Counters& counters)
     : loop_(loop),
+      dialect_(dialect),
       limits_(limits),
       most_(most),
       per_endpoint_(per_endpoint),
@@ -366,8 +385,7 @@
 Back::Handle Http1Back::send(EndpointId id, std::shared_ptr<const Message> message, Time end, Done done) {
     auto request = std::static_pointer_cast<const HttpMessage>(std::move(message));
     Outgoing::Head head{request->head};
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - Loop::monotonic());
-    head.set("X-Timeout-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
+    dialect_.prepare(head, *request, id, end);
     if (!request->rest) {
         // A safe request has no body, and endpoints may not expect to be told so.
         const bool bare = request->body.empty() && head.method() == http::verb::get;
@@ -382,8 +400,8 @@
 }
 
 void Http1Back::probe(EndpointId id, Done done) {
-    Outgoing::Head head{http::verb::get, "/-/healthy", 11};
-    head.set(http::field::host, "service.internal");
+    Outgoing::Head head{http::verb::get, "/", 11};
+    dialect_.prepare_probe(head);
     auto outgoing = std::make_shared<Outgoing>(std::move(head), std::string_view{}, nullptr);
     start(id, nullptr, std::move(outgoing), Loop::monotonic() + kProbeTime, std::move(done));
 }
--- a/src/http1/back.h
+++ b/src/http1/back.h
@@ -16,14 +16,16 @@
 namespace martenford {
 
 class Connection;
+class BackDialect;
 
 class Http1Back : public Back, public Placement {
   public:
     /// Holds `most` connections, and `per_endpoint` to each endpoint (0: no bound of its own). An attempt
     /// that would need one more takes the place of the connection that has been idle longest; where none is
     /// idle, or its endpoint has as many as it may, it ends as never sent.
-    Http1Back(Loop& loop, const loftfront::Limits& limits, std::size_t most, std::size_t per_endpoint,
-              Counters& counters);
+    /// `dialect` outlives it.
+    Http1Back(Loop& loop, BackDialect& dialect, const loftfront::Limits& limits, std::size_t most,
+              std::size_t per_endpoint, Counters& counters);
     ~Http1Back() override;
 
     void place(EndpointId id, const Address& address, bool ready) override;
@@ -62,6 +64,7 @@
     }
 
     Loop& loop_;
+    BackDialect& dialect_;
     loftfront::Limits limits_;
     std::size_t most_, per_endpoint_, count_ = 0;
     std::unordered_map<EndpointId, Pool> pools_;
--- /dev/null
+++ b/src/http1/dialect.cpp
@@ -0,0 +1,121 @@
+#include "http1/dialect.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "core/loop.h"
+#include "core/transport.h"
+
+namespace martenford {
+
+using namespace loftfront;
+
+std::optional<std::int64_t> whole_number(boost::beast::string_view text) {
+    std::int64_t value = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, fault] = std::from_chars(text.data(), end, value);
+    if (fault != std::errc{} || stop != end) return std::nullopt;
+    return value;
+}
+
+// ---- the platform in service ----------------------------------------------------------------------
+
+namespace {
+
+constexpr std::size_t kMostId = 128;
+constexpr std::int64_t kMostTimeoutMs = 24 * 3600 * 1000;
+constexpr Duration kLastCall = 450ms;      // connections come for 0.4 s after SIGTERM
+constexpr Duration kLastRequest = 200ms;   // and the requests on them
+constexpr Duration kKilledAfter = 700ms;   // SIGKILL comes this much later than the longest deadline
+constexpr Duration kKilledMost = 3s;       // of which no more than this counts
+constexpr Duration kKilledSlack = 150ms;   // all answers are out by this much before it
+constexpr Duration kLastAnswers = 1500ms;  // and no more requests are wanted by this much before that
+
+std::uint64_t hash(std::string_view text) {  // FNV-1a: requests on one key meet the same number everywhere
+    std::uint64_t value = 14695981039346656037u;
+    for (const char c : text) value = (value ^ static_cast<unsigned char>(c)) * 1099511628211u;
+    return value;
+}
+
+}  // namespace
+
+DrainTimes SidecarFront::drain_times() const {
+    Duration longest{};
+    for (const RequestClass& c : settings_.classes) longest = std::max(longest, c.deadline);
+    return {kLastCall, kLastRequest, std::min(longest, kKilledMost) + kKilledAfter - kKilledSlack,
+            kLastAnswers};
+}
+
+/// The event that a message stands for, or the status that turns it away.
+std::variant<Request, TurnAway> SidecarFront::read(Fields& message, Time arrived) {
+    const Settings& settings = settings_;
+    const auto id = message["X-Request-ID"], name = message["X-Priority-Class"];
+    if (id.empty() || id.size() > kMostId || name.empty()) return TurnAway{http::status::bad_request};
+    std::string_view path(message.target().data(), message.target().size());
+    path = path.substr(0, path.find('?'));
+    if (path.empty() || path.front() != '/') return TurnAway{http::status::bad_request};
+    path.remove_prefix(1);
+    const auto known = std::find_if(settings.classes.begin(), settings.classes.end(),
+                                    [&](const RequestClass& c) { return name == c.name; });
+    if (known == settings.classes.end() || path.substr(0, path.find('/')) != known->name) {
+        return TurnAway{http::status::not_found};
+    }
+    const auto method = known->effect == Effect::Free ? http::verb::get : http::verb::post;
+    if (message.method() != method) return TurnAway{http::status::method_not_allowed};
+    if (known->effect == Effect::Guarded && message["Idempotency-Key"].empty())
+        return TurnAway{http::status::bad_request};
+    const auto timeout = whole_number(message["X-Timeout-Ms"]);
+    if (!timeout || *timeout < 1 || *timeout > kMostTimeoutMs) return TurnAway{http::status::bad_request};
+
+    Request request;
+    request.id = std::string(id);
+    request.class_index = static_cast<std::uint32_t>(known - settings.classes.begin());
+    request.deadline = arrived + std::chrono::milliseconds(*timeout) - kOnTheWay;
+    request.write = known->effect != Effect::Free;
+    request.resent = message["X-Retried"] == "1";
+    if (!settings.tenants.empty()) {
+        const auto tenant = std::find_if(settings.tenants.begin(), settings.tenants.end(),
+                                         [&](const Tenant& t) { return message["X-Tenant-Id"] == t.name; });
+        if (tenant == settings.tenants.end()) return TurnAway{http::status::bad_request};
+        request.tenant = static_cast<std::uint32_t>(tenant - settings.tenants.begin());
+    }
+    if (const auto slash = path.rfind('/'); slash != std::string_view::npos) {
+        request.key = hash(path.substr(slash + 1));
+    }
+    if (const auto cost = whole_number(message["X-Cost"]);
+        cost && *cost >= 0 && *cost < kMostTimeoutMs * 1000) {
+        request.work = std::chrono::microseconds(*cost);
+    }
+    return request;
+}
+
+void SidecarFront::write(const Answer& answer, http::response_header<>& head) {
+    if (answer.kind == Answer::Kind::Served) {
+        head.result(http::status::ok);
+        if (!answer.content_type.empty()) head.set(http::field::content_type, answer.content_type);
+    } else if (answer.kind == Answer::Kind::Refused) {
+        head.result(http::status::service_unavailable);
+        if (answer.retry_after > Duration{} && settings_.limits.retry_after) {
+            head.set(http::field::retry_after, seconds_text(answer.retry_after));
+        }
+    }
+}
+
+void SidecarBack::prepare(http::request_header<>& head, const HttpMessage&, EndpointId, Time end) {
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - Loop::monotonic());
+    head.set("X-Timeout-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
+}
+
+void SidecarBack::prepare_probe(http::request_header<>& head) {
+    head.target("/-/healthy");
+    head.set(http::field::host, "service.internal");
+}
+
+std::optional<Status> SidecarBack::classify(const http::response_header<>& head, const HttpMessage*,
+                                            EndpointId) {
+    if (head.result_int() == 200) return Status::Ok;
+    const bool turned_away = head.result_int() == 503 || head.result_int() == 504;
+    return turned_away && head["X-Not-Processed"] == "1" ? Status::Full : Status::Error;
+}
+
+}  // namespace martenford
--- /dev/null
+++ b/src/http1/dialect.h
@@ -0,0 +1,124 @@
+// What differs between the deployments that speak HTTP/1.1: which fields a request must have, what proves
+// that one never ran, what an answer says beside its body. Fronts and backs read and write; a dialect says
+// what it means.
+#pragma once
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/status.hpp>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "core/engine.h"
+#include "http1/http.h"
+
+namespace martenford {
+
+/// The head of an endpoint's answer as it came, less what concerns its connection alone.
+class HttpAnswerHead : public AnswerHead {
+  public:
+    unsigned status = 0;
+    http::fields fields;
+};
+
+/// What callers may send and how long they may take. Bytes, and times by the steady clock.
+struct FrontLimits {
+    Duration head_time = 2600ms;  ///< a head must be whole in this time from its first byte, the first on a
+                                  ///< connection from the connect
+    Duration idle_time = 15s;     ///< a connection between requests is kept for this long
+    std::size_t most_header = kMostHeader;
+    std::uint64_t most_body = kMostBody;
+    std::size_t whole_body = kWholeBody;  ///< up to here a body is held whole; longer ones go on as they come
+};
+
+/// What is done after SIGTERM, counted from it.
+struct DrainTimes {
+    Duration last_call{};     ///< connections are accepted for so long
+    Duration last_request{};  ///< and the requests on them are taken for this much longer, at least
+    Duration answers_end{};   ///< all that was taken is answered by then
+    Duration last_answers{};  ///< and no more requests are taken for so long before that
+};
+
+/// An answer without the desk.
+struct TurnAway {
+    http::status status = http::status::bad_request;
+    bool keep = true;  ///< the connection, where its client wants that
+    Duration retry_after{};
+};
+
+class FrontDialect {
+  public:
+    using Fields = http::request_header<>;
+    virtual ~FrontDialect() = default;
+    virtual const FrontLimits& limits() const = 0;
+    virtual DrainTimes drain_times() const = 0;
+    /// Where callers ask whether the process is ready; empty: not on this port.
+    virtual std::string_view ready_path() const { return {}; }
+    /// The event that a request stands for, or what turns it away. `arrived` is when its last byte came.
+    /// Fields may be added and taken off.
+    virtual std::variant<loftfront::Request, TurnAway> read(Fields& head, Time arrived) = 0;
+    /// The status and the fields of an answer; its length and its connection are the front's.
+    virtual void write(const Answer& answer, http::response_header<>& head) = 0;
+};
+
+class BackDialect {
+  public:
+    virtual ~BackDialect() = default;
+    /// Adds and takes off fields of a request before it goes to `to`; the attempt ends at `end`.
+    virtual void prepare(http::request_header<>& head, const HttpMessage& message, EndpointId to,
+                         Time end) = 0;
+    /// The request that asks an endpoint for its health.
+    virtual void prepare_probe(http::request_header<>& head) = 0;
+    /// How the attempt ended. Nothing: the answer is not to this request, and is passed over.
+    virtual std::optional<loftfront::Status> classify(const http::response_header<>& head,
+                                                      const HttpMessage* message, EndpointId from) = 0;
+    /// Whether answers are passed on with their heads.
+    virtual bool passes_heads() const { return false; }
+    /// Whether the end of a connection may end an answer of untold length.
+    virtual bool ends_by_close() const { return true; }
+};
+
+/// Takes off what concerns one connection alone (RFC 9110, section 7.6.1).
+template <class Fields>
+void strip_connection_fields(Fields& fields) {
+    const auto listed = std::string(fields[http::field::connection]);
+    for (const auto& name : http::token_list(listed)) {
+        if (!boost::beast::iequals(name, "close") && !boost::beast::iequals(name, "keep-alive")) {
+            fields.erase(name);
+        }
+    }
+    for (const auto field : {http::field::connection, http::field::keep_alive, http::field::proxy_connection,
+                             http::field::te, http::field::trailer, http::field::upgrade, http::field::expect,
+                             http::field::content_length, http::field::transfer_encoding}) {
+        fields.erase(field);
+    }
+}
+
+/// A whole number and nothing else; nothing where the text is none.
+std::optional<std::int64_t> whole_number(boost::beast::string_view text);
+
+/// The dialect of the platform in service: X-Request-ID, X-Timeout-Ms and the rest of it.
+class SidecarFront : public FrontDialect {
+  public:
+    explicit SidecarFront(const loftfront::Settings& settings) : settings_(settings) {}
+    const FrontLimits& limits() const override { return limits_; }
+    DrainTimes drain_times() const override;
+    std::string_view ready_path() const override { return "/-/ready"; }
+    std::variant<loftfront::Request, TurnAway> read(Fields& head, Time arrived) override;
+    void write(const Answer& answer, http::response_header<>& head) override;
+
+  private:
+    const loftfront::Settings& settings_;
+    FrontLimits limits_;
+};
+
+class SidecarBack : public BackDialect {
+  public:
+    void prepare(http::request_header<>& head, const HttpMessage& message, EndpointId to, Time end) override;
+    void prepare_probe(http::request_header<>& head) override;
+    std::optional<loftfront::Status> classify(const http::response_header<>& head, const HttpMessage* message,
+                                              EndpointId from) override;
+};
+
+}  // namespace martenford
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -12,7 +12,7 @@
 #include <string_view>
 #include <variant>
 
-#include "core/transport.h"
+#include "http1/dialect.h"
 #include "http1/http.h"
 
 namespace martenford {
@@ -22,15 +22,10 @@
 
 namespace {
 
-constexpr std::size_t kMostId = 128;
-constexpr std::int64_t kMostTimeoutMs = 24 * 3600 * 1000;
-constexpr Duration kRequestTime = 2600ms;  // a head must be whole in this time from its first byte, the first
-                                           // on a connection from the connect; 3 s are owed
-constexpr double kSlowestBody = 24'000;    // bytes a second, after as long again: the platform's send 64,000
+constexpr double kSlowestBody = 24'000;  // bytes a second, after as long again: the platform's send 64,000
 constexpr std::uint64_t kLongestBody = 64 * 1024 * 1024;  // taken for the length of one that tells none
-constexpr Duration kIdleTime = 15s;    // a connection between requests is kept for this long
-constexpr Duration kAnswerTime = 10s;  // for the client to read an answer
-constexpr int kMostLooks = 8;          // at connections, to find one that can make room
+constexpr Duration kAnswerTime = 10s;                     // for the client to read an answer
+constexpr int kMostLooks = 8;                             // at connections, to find one that can make room
 constexpr Duration kLingerTime =
     1s;  // for the client to read the last answer and close, and for it to
          // stop sending: so long after the last bytes of a body that nobody wants
@@ -40,27 +35,7 @@
 constexpr Duration kSentAway = 300ms;     // after an evacuation began, by when no front sends anybody new
 constexpr Duration kLetGo = 1s;           // and by when idle connections are closed
 constexpr Duration kAskTime = 600ms;      // in which a new connection says what it wants then
-constexpr Duration kNoMore = 1800ms;   // from when on requests are refused: none of the last 2 s may be held
-constexpr Duration kLastCall = 450ms;  // connections come for 0.4 s after SIGTERM
-constexpr Duration kLastRequest = 200ms;   // and the requests on them
-constexpr Duration kKilledAfter = 700ms;   // SIGKILL comes this much later than the longest deadline
-constexpr Duration kKilledMost = 3s;       // of which no more than this counts
-constexpr Duration kKilledSlack = 150ms;   // all answers are out by this much before it
-constexpr Duration kLastAnswers = 1500ms;  // and no more requests are wanted by this much before that
-
-std::optional<std::int64_t> whole_number(boost::beast::string_view text) {
-    std::int64_t value = 0;
-    const char* end = text.data() + text.size();
-    const auto [stop, fault] = std::from_chars(text.data(), end, value);
-    if (fault != std::errc{} || stop != end) return std::nullopt;
-    return value;
-}
-
-std::uint64_t hash(std::string_view text) {  // FNV-1a: requests on one key meet the same number everywhere
-    std::uint64_t value = 14695981039346656037u;
-    for (const char c : text) value = (value ^ static_cast<unsigned char>(c)) * 1099511628211u;
-    return value;
-}
+constexpr Duration kNoMore = 1800ms;  // from when on requests are refused: none of the last 2 s may be held
 
 /// Whether the length of the body is told in one way that all read alike. Guards against a second request
 /// hidden in the body: Boost 1.74 refuses Content-Length beside Transfer-Encoding and lengths that differ,
@@ -74,65 +49,6 @@
     return codings == 0 || boost::beast::iequals(message[http::field::transfer_encoding], "chunked");
 }
 
-/// The event that a message stands for, or the status that turns it away.
-std::variant<Request, http::status> read_request(const http::request_header<>& message,
-                                                 const Settings& settings, Time arrived) {
-    const auto id = message["X-Request-ID"], name = message["X-Priority-Class"];
-    if (id.empty() || id.size() > kMostId || name.empty()) return http::status::bad_request;
-    std::string_view path(message.target().data(), message.target().size());
-    path = path.substr(0, path.find('?'));
-    if (path.empty() || path.front() != '/') return http::status::bad_request;
-    path.remove_prefix(1);
-    const auto known = std::find_if(settings.classes.begin(), settings.classes.end(),
-                                    [&](const RequestClass& c) { return name == c.name; });
-    if (known == settings.classes.end() || path.substr(0, path.find('/')) != known->name) {
-        return http::status::not_found;
-    }
-    const auto method = known->effect == Effect::Free ? http::verb::get : http::verb::post;
-    if (message.method() != method) return http::status::method_not_allowed;
-    if (known->effect == Effect::Guarded && message["Idempotency-Key"].empty())
-        return http::status::bad_request;
-    const auto timeout = whole_number(message["X-Timeout-Ms"]);
-    if (!timeout || *timeout < 1 || *timeout > kMostTimeoutMs) return http::status::bad_request;
-
-    Request request;
-    request.id = std::string(id);
-    request.class_index = static_cast<std::uint32_t>(known - settings.classes.begin());
-    request.deadline = arrived + std::chrono::milliseconds(*timeout) - kOnTheWay;
-    request.write = known->effect != Effect::Free;
-    request.resent = message["X-Retried"] == "1";
-    if (!settings.tenants.empty()) {
-        const auto tenant = std::find_if(settings.tenants.begin(), settings.tenants.end(),
-                                         [&](const Tenant& t) { return message["X-Tenant-Id"] == t.name; });
-        if (tenant == settings.tenants.end()) return http::status::bad_request;
-        request.tenant = static_cast<std::uint32_t>(tenant - settings.tenants.begin());
-    }
-    if (const auto slash = path.rfind('/'); slash != std::string_view::npos) {
-        request.key = hash(path.substr(slash + 1));
-    }
-    if (const auto cost = whole_number(message["X-Cost"]);
-        cost && *cost >= 0 && *cost < kMostTimeoutMs * 1000) {
-        request.work = std::chrono::microseconds(*cost);
-    }
-    return request;
-}
-
-/// Takes off what concerns the caller's connection alone.
-void strip_hop_headers(http::request_header<>& message) {
-    const auto listed = std::string(message[http::field::connection]);
-    for (const auto& name : http::token_list(listed)) {
-        if (!boost::beast::iequals(name, "close") && !boost::beast::iequals(name, "keep-alive")) {
-            message.erase(name);
-        }
-    }
-    for (const auto field : {http::field::connection, http::field::keep_alive, http::field::proxy_connection,
-                             http::field::te, http::field::trailer, http::field::upgrade, http::field::expect,
-                             http::field::content_length, http::field::transfer_encoding}) {
-        message.erase(field);
-    }
-    message.version(11);
-}
-
 /// The origin form of a target (RFC 9112, section 3.2): a client may write the whole URI.
 std::string origin_form(boost::beast::string_view target) {
     constexpr std::string_view kScheme = "http://";
@@ -159,7 +75,7 @@
         place_ = place;
         next_request();
         // In an evacuation none is held idle; whoever asks whether it is over does so at once.
-        const Duration most = front_.evacuated() ? kAskTime : kRequestTime;
+        const Duration most = front_.evacuated() ? kAskTime : limits().head_time;
         limit_.set(Loop::monotonic() + most, [self = shared_from_this()] { self->close(); });
         read();
     }
@@ -189,10 +105,12 @@
   private:
     enum class Stage { Reading, Waiting, Writing, Lingering, Closed };
 
+    const FrontLimits& limits() const { return front_.dialect_.limits(); }
+
     void next_request() {
         stage_ = Stage::Reading;
         move(front_.waiting_);
-        renew(parser_);
+        renew(parser_, limits().most_header, limits().most_body);
         continue_sent_ = false;
         paused_ = {};
         paused_since_.reset();
@@ -212,7 +130,7 @@
             if (!paused_since_) paused_since_ = Loop::monotonic();
             return;
         }
-        if (!passing && stage_ != Stage::Lingering && buffer_.size() > kMostHeader) return;
+        if (!passing && stage_ != Stage::Lingering && buffer_.size() > limits().most_header) return;
         if (paused_since_) paused_ += Loop::monotonic() - *std::exchange(paused_since_, std::nullopt);
         reading_ = true;
         socket_.async_read_some(buffer_.prepare(read_size(buffer_, passing)),
@@ -236,7 +154,7 @@
         const auto upload = std::exchange(upload_, nullptr);
         close();
         // Before its body breaks off: guards against blaming the endpoint that was getting it.
-        if (open) front_.engine_.leave(id_);
+        if (open) front_.desk_.leave(id_);
         if (upload) upload->fail();
     }
 
@@ -246,7 +164,7 @@
         if (!parser_->got_some()) {
             // The first request's time began with the connection.
             const Time from = used_ ? Loop::monotonic() : connected_;
-            limit_.set(from + kRequestTime, [self = shared_from_this()] { self->too_slow(); });
+            limit_.set(from + limits().head_time, [self = shared_from_this()] { self->too_slow(); });
         }
         if (!arriving) move(front_.begun_);  // who keeps sending is the last to be closed for want of room
         const bool had_head = parser_->is_header_done();
@@ -272,7 +190,7 @@
         received_ = parser_->get().body().size();
         if (parser_->is_done()) return taken(false);
         // A body too long to be held goes on as it comes; the request is taken with what is here.
-        if (received_ > kWholeBody) return taken(true);
+        if (received_ > limits().whole_body) return taken(true);
         if (!had_head) expect_body();
         await_body();
     }
@@ -296,7 +214,8 @@
     /// A body may be slow, but not stand still.
     void await_body() {
         const auto allowed = std::chrono::duration<double>(static_cast<double>(received_) / kSlowestBody);
-        const Time due = head_at_ + kRequestTime + paused_ + std::chrono::duration_cast<Duration>(allowed);
+        const Time due =
+            head_at_ + limits().head_time + paused_ + std::chrono::duration_cast<Duration>(allowed);
         limit_.set(due, [self = shared_from_this()] {
             if (self->paused_since_) return self->await_body_again();
             self->too_slow();
@@ -304,7 +223,7 @@
     }
     /// It was not read for a while: its time stands still until it is.
     void await_body_again() {
-        limit_.set(Loop::monotonic() + kRequestTime, [self = shared_from_this()] {
+        limit_.set(Loop::monotonic() + limits().head_time, [self = shared_from_this()] {
             if (self->stage_ == Stage::Waiting && self->upload_) self->await_body();
         });
     }
@@ -317,7 +236,7 @@
     void abandon_upload() {
         const auto self = shared_from_this();
         const auto upload = std::exchange(upload_, nullptr);
-        front_.engine_.leave(id_);  // first, as in left()
+        front_.desk_.leave(id_);  // first, as in left()
         upload->fail();
         turn_away(http::status::bad_request, false);
     }
@@ -332,16 +251,16 @@
         auto& head = parser_->get().base();
         if (!framed_clearly(head)) return turn_away(http::status::bad_request, false);
         head.target(origin_form(head.target()));
-        if (head.target() == "/-/ready") {
+        if (const auto path = front_.dialect_.ready_path(); !path.empty() && head.target() == path) {
             if (head.method() != http::verb::get)
                 return turn_away(http::status::method_not_allowed, keep && !arriving);
             return turn_away(front_.is_ready() ? http::status::ok : http::status::service_unavailable,
                              keep && !arriving && !front_.leaving());
         }
         const Time now = Loop::monotonic();
-        auto request = read_request(head, front_.settings_, now - since_arrival());
-        if (const auto* status = std::get_if<http::status>(&request))
-            return turn_away(*status, keep && !arriving);
+        auto request = front_.dialect_.read(head, now - since_arrival());
+        if (const auto* away = std::get_if<TurnAway>(&request))
+            return turn_away(away->status, keep && away->keep && !arriving, away->retry_after);
         if (front_.sends_all_away()) return turn_away(http::status::service_unavailable, false);
         auto& event = std::get<Request>(request);
         timeout_ = event.deadline - (now - since_arrival());
@@ -349,7 +268,7 @@
             // Its time begins with its last byte, which may be as far away as the slowest body allows.
             const std::uint64_t whole = length ? *length : kLongestBody;
             const std::chrono::duration<double> at_most{static_cast<double>(whole) / kSlowestBody};
-            event.deadline += kRequestTime + std::chrono::duration_cast<Duration>(at_most);
+            event.deadline += limits().head_time + std::chrono::duration_cast<Duration>(at_most);
             event.arriving = true;
         }
         limit_deadline(event.deadline);
@@ -370,8 +289,9 @@
             message = std::make_shared<HttpMessage>(parser_->release());
         }
         message->class_index = event.class_index;
-        strip_hop_headers(message->head);
-        const bool fresh = front_.engine_.take(
+        strip_connection_fields(message->head);
+        message->head.version(11);
+        const bool fresh = front_.desk_.take(
             std::move(event), std::move(message),
             [self = shared_from_this()](Answer&& answer) { self->answer(std::move(answer)); });
         if (!fresh) return turn_away(http::status::conflict, keep && !arriving);
@@ -385,7 +305,7 @@
         if (stage_ != Stage::Waiting) return;
         Time deadline = Loop::monotonic() - since_arrival() + timeout_;
         limit_deadline(deadline);
-        front_.engine_.received(id_, deadline);
+        front_.desk_.received(id_, deadline);
     }
 
     /// Guards against an answer that is still owed when SIGKILL comes.
@@ -408,16 +328,7 @@
             return;
         }
         Reply::Head head{http::status::bad_gateway, 11};
-        if (answer.kind == Answer::Kind::Served) {
-            head.result(http::status::ok);
-            if (!answer.content_type.empty()) head.set(http::field::content_type, answer.content_type);
-        } else if (answer.kind == Answer::Kind::Refused) {
-            head.result(http::status::service_unavailable);
-            if (answer.retry_after > Duration{} && front_.settings_.limits.retry_after) {
-                const double seconds = std::chrono::duration<double>(answer.retry_after).count();
-                head.set(http::field::retry_after, std::to_string(seconds));
-            }
-        }
+        front_.dialect_.write(answer, head);
         rest_ = std::move(answer.rest);
         ticket_ = std::move(answer.ticket);
         on_written_ = std::move(answer.on_written);
@@ -437,9 +348,10 @@
     }
 
     /// Answers without the module.
-    void turn_away(http::status status, bool keep) {
+    void turn_away(http::status status, bool keep, Duration retry_after = {}) {
         body_.clear();
         Reply::Head head{status, 11};
+        if (retry_after > Duration{}) head.set(http::field::retry_after, seconds_text(retry_after));
         head.content_length(0);
         write(std::move(head), keep);
     }
@@ -452,24 +364,24 @@
         head.keep_alive(goes_on);
         reply_ = std::make_shared<Reply>(std::move(head), body_, rest_);
         reply_->on_progress = [this] { await_reader(); };
-        reply_->run(socket_, shared_from_this(),
-                    [self = shared_from_this(), goes_on](const error_code& error) {
-                        if (self->stage_ == Stage::Closed) return;
-                        self->ticket_.end(error ? Tally::End::Failed : Tally::End::Served);
-                        if (error) return self->break_off();
-                        if (const auto tell = std::exchange(self->on_written_, nullptr)) tell();
-                        self->rest_.reset();
-                        self->reply_.reset();
-                        if (!goes_on) return self->linger();
-                        self->body_ = {};
-                        self->next_request();
-                        self->limit_.set(Loop::monotonic() + kIdleTime, [self] { self->close(); });
-                        self->parse();
-                        // Guards against a full house in which nobody leaves: who waits outside may need this
-                        // one's place.
-                        self->front_.accept();
-                        self->read();
-                    });
+        reply_->run(
+            socket_, shared_from_this(), [self = shared_from_this(), goes_on](const error_code& error) {
+                if (self->stage_ == Stage::Closed) return;
+                self->ticket_.end(error ? Tally::End::Failed : Tally::End::Served);
+                if (error) return self->break_off();
+                if (const auto tell = std::exchange(self->on_written_, nullptr)) tell();
+                self->rest_.reset();
+                self->reply_.reset();
+                if (!goes_on) return self->linger();
+                self->body_ = {};
+                self->next_request();
+                self->limit_.set(Loop::monotonic() + self->limits().idle_time, [self] { self->close(); });
+                self->parse();
+                // Guards against a full house in which nobody leaves: who waits outside may need this
+                // one's place.
+                self->front_.accept();
+                self->read();
+            });
     }
     /// A client may be slow, but not stand still.
     void await_reader() {
@@ -528,11 +440,11 @@
     Time linger_end_{};
 };
 
-Http1Front::Http1Front(Loop& loop, Engine& engine, const Settings& settings, std::size_t most,
+Http1Front::Http1Front(Loop& loop, Desk& desk, FrontDialect& dialect, std::size_t most,
                        std::function<bool()> ready, Counters& counters)
     : loop_(loop),
-      engine_(engine),
-      settings_(settings),
+      desk_(desk),
+      dialect_(dialect),
       most_(most),
       ready_(std::move(ready)),
       acceptor_(loop.io()),
@@ -640,11 +552,10 @@
     drained_ = std::move(done);
     replaced_ = replaced;
     letting_go_.cancel();
-    Duration longest{};
-    for (const RequestClass& c : settings_.classes) longest = std::max(longest, c.deadline);
-    answers_end_ = Loop::monotonic() + std::min(longest, kKilledMost) + kKilledAfter - kKilledSlack;
+    const DrainTimes times = dialect_.drain_times();
+    answers_end_ = Loop::monotonic() + times.answers_end;
     if (replaced_) return stop_accepting();  // what waits in the listener is its other holder's
-    quiet_.set(Loop::monotonic() + kLastCall, [this] { stop_accepting(); });
+    quiet_.set(Loop::monotonic() + times.last_call, [this] { stop_accepting(); });
 }
 
 void Http1Front::stop_accepting() {
@@ -655,7 +566,8 @@
     if (const int descriptor = acceptor_.release(ignored); !ignored) ::close(descriptor);
     // Clients go on using open connections, and there may be nobody else to turn to while a fleet restarts:
     // these are served for as long as their answers will be in time.
-    quiet_.set(std::max(Loop::monotonic() + kLastRequest, answers_end_ - kLastAnswers),
+    const DrainTimes times = dialect_.drain_times();
+    quiet_.set(std::max(Loop::monotonic() + times.last_request, answers_end_ - times.last_answers),
                [this] { stop_serving(); });
 }
 
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -15,12 +15,14 @@
 namespace martenford {
 
 class Client;
+class FrontDialect;
 
 class Http1Front {
   public:
     /// Holds this many connections at most. Throws boost::system::system_error where it can't listen.
-    Http1Front(Loop& loop, Engine& engine, const loftfront::Settings& settings, std::size_t most,
-               std::function<bool()> ready, Counters& counters);
+    /// `desk` and `dialect` outlive it.
+    Http1Front(Loop& loop, Desk& desk, FrontDialect& dialect, std::size_t most, std::function<bool()> ready,
+               Counters& counters);
     ~Http1Front();
 
     /// Listens, beside others that share the address with SO_REUSEPORT. Throws boost::system::system_error
@@ -74,8 +76,8 @@
     bool empty() const { return held() == 0; }
 
     Loop& loop_;
-    Engine& engine_;
-    const loftfront::Settings& settings_;
+    Desk& desk_;
+    FrontDialect& dialect_;
     std::size_t most_;
     std::function<bool()> ready_;
     asio::ip::tcp::acceptor acceptor_;
--- a/src/http1/http.h
+++ b/src/http1/http.h
@@ -101,10 +101,11 @@
 using Parser = http::parser<isRequest, PieceBody>;
 
 template <bool isRequest>
-void renew(std::optional<Parser<isRequest>>& parser) {
+void renew(std::optional<Parser<isRequest>>& parser, std::size_t most_header = kMostHeader,
+           std::uint64_t most_body = kMostBody) {
     parser.emplace();
-    parser->header_limit(kMostHeader);
-    parser->body_limit(kMostBody);
+    parser->header_limit(static_cast<std::uint32_t>(most_header));
+    parser->body_limit(most_body);
 }
 
 /// Moves what the buffer holds into the parser, up to the message's end. No error where more must come.
@@ -122,6 +123,11 @@
     return {};
 }
 
+/// A time as Retry-After has it: seconds, with a fraction.
+inline std::string seconds_text(Duration time) {
+    return std::to_string(std::chrono::duration<double>(time).count());
+}
+
 /// Reads at most as much as a connection may hold unparsed: little, but for a body that passes through.
 inline std::size_t read_size(const boost::beast::flat_buffer& buffer, bool passing) {
     return passing ? std::min(kPassSize, buffer.max_size() - buffer.size()) : kReadSize;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -30,6 +30,7 @@
 #include "handover/handover.h"
 #include "helper/helper.h"
 #include "http1/back.h"
+#include "http1/dialect.h"
 #include "http1/front.h"
 #include "ledger/recorder.h"
 #include "ledger/writer_link.h"
@@ -96,7 +97,9 @@
           hang_up_(loop_.io(), SIGHUP),
           signals_(loop_.io(), SIGTERM, SIGINT),
           tally_(counters_, config.settings.classes),
-          back_(loop_, config.settings.limits, most_back_, features.connections.per_endpoint, counters_),
+          front_dialect_(config.settings),
+          back_(loop_, back_dialect_, config.settings.limits, most_back_, features.connections.per_endpoint,
+                counters_),
           journal_(features.ledger
                        ? std::make_unique<Journal>(*features.ledger, config, loop_, back_, counters_)
                        : nullptr),
@@ -116,7 +119,7 @@
           discovery_(loop_, telemetry_ ? static_cast<Placement&>(telemetry_->tap) : placement(), engine_,
                      config, membership_options(features, config.settings), counters_),
           front_(
-              loop_, engine_, config.settings, half_, [this] { return knows_enough(); }, counters_),
+              loop_, engine_, front_dialect_, half_, [this] { return knows_enough(); }, counters_),
           late_(loop_) {
         engine_.on_subscribe([this] { discovery_.subscribe(); });
         engine_.on_ended([this](EndpointId id, loftfront::Status status) { discovery_.saw(id, status); });
@@ -316,6 +319,8 @@
     // First: guards against dying on a SIGHUP that comes while the rest is being set up.
     asio::signal_set hang_up_, signals_;
     Tally tally_;
+    SidecarFront front_dialect_;
+    SidecarBack back_dialect_;
     Http1Back back_;
     std::unique_ptr<Journal> journal_;
     outlier::OutlierPolicy* outliers_ = nullptr;  // within the engine
--- /dev/null
+++ b/src/policy/budget.h
@@ -0,0 +1,53 @@
+// What retries may cost: tokens that served calls earn, and a ration by what was taken. Where one bucket
+// stands for many sidecars, its capacity is a share.
+#pragma once
+
+#include <algorithm>
+#include <optional>
+
+#include "loftfront/balancer.h"
+#include "policy/mechanics.h"
+
+namespace loftfront {
+
+constexpr double kBucketCapacity = 100.0;  // tokens; the source's figure
+constexpr double kRetryCost = 10.0;        // tokens a retry; retries add at most a tenth (the source's)
+
+/// Served calls earn, retries spend.
+class RetryBudget {
+  public:
+    /// Starts full, with `capacity` tokens.
+    explicit RetryBudget(double capacity = kBucketCapacity) : capacity_(capacity), tokens_(capacity) {}
+    void earn() { tokens_ = std::min(capacity_, tokens_ + 1.0); }
+    bool spend() {
+        if (tokens_ < kRetryCost) return false;
+        tokens_ -= kRetryCost;
+        return true;
+    }
+    void refund() { tokens_ = std::min(capacity_, tokens_ + kRetryCost); }
+
+  private:
+    double capacity_, tokens_;
+};
+
+/// The ration of attempts after a request's first, where the settings tell one. It stands beside the retry
+/// budget, which goes by what was served: this one goes by what was taken, in a sliding window whose edge is
+/// read against us both ways.
+class AttemptRation {
+  public:
+    explicit AttemptRation(const std::optional<AttemptBudget>& told)
+        : told_(told), taken_(told ? told->look_back : Duration{}), further_(taken_) {}
+    void took(Time now) { taken_.add(now); }
+    void sent(Time now) { further_.add(now); }
+    void moot(Time sent) { further_.remove(sent); }  // it turned out never to have been sent
+    bool allows(Time now) {
+        if (!told_) return true;
+        return further_.count(now, true) + 1.0 <= told_->floor + told_->ratio * taken_.count(now, false);
+    }
+
+  private:
+    std::optional<AttemptBudget> told_;
+    Window taken_, further_;
+};
+
+}  // namespace loftfront
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -14,8 +14,10 @@
 #include <utility>
 
 #include "loftfront/balancer.h"
+#include "policy/budget.h"
 #include "policy/mechanics.h"
 #include "policy/ring.h"
+#include "policy/waits.h"
 
 namespace loftfront {
 namespace {
@@ -24,11 +26,6 @@
 
 // ---- tunables -------------------------------------------------------------------------------------
 
-constexpr double kBucketCapacity = 100.0;   // tokens; the source's figure
-constexpr double kRetryCost = 10.0;         // tokens a retry; retries add at most a tenth (the source's)
-constexpr Duration kBackoffBase = 100ms;    // the source's base wait
-constexpr Duration kBackoffCap = 30s;       // the source's longest wait
-constexpr Duration kDeadlineBuffer = 50ms;  // an attempt started later than this before the end is lost
 constexpr std::size_t kReach = 4;    // servers used at least: two pairs of a cell; fewer are heard of more
 constexpr std::size_t kCallers = 2;  // and as many more as give each server this many callers, for evenness
 constexpr double kColdEarn = 0.9;  // of the told fall multiple goes to a cold server; the rest is for chance
@@ -63,55 +60,6 @@
 constexpr int kAskSpread = 2;            // first subscriptions spread over ask_every / this
 constexpr int kAskBase = 10;             // and failed ones wait from ask_every / this on
 
-/// Served calls earn, retries spend.
-class RetryBudget {
-  public:
-    void earn() { tokens_ = std::min(kBucketCapacity, tokens_ + 1.0); }
-    bool spend() {
-        if (tokens_ < kRetryCost) return false;
-        tokens_ -= kRetryCost;
-        return true;
-    }
-    void refund() { tokens_ = std::min(kBucketCapacity, tokens_ + kRetryCost); }
-
-  private:
-    double tokens_ = kBucketCapacity;
-};
-
-/// The ration of attempts after a request's first, where the settings tell one. It stands beside the retry
-/// budget, which goes by what was served: this one goes by what was taken, in a sliding window whose edge is
-/// read against us both ways.
-class AttemptRation {
-  public:
-    explicit AttemptRation(const std::optional<AttemptBudget>& told)
-        : told_(told), taken_(told ? told->look_back : Duration{}), further_(taken_) {}
-    void took(Time now) { taken_.add(now); }
-    void sent(Time now) { further_.add(now); }
-    void moot(Time sent) { further_.remove(sent); }  // it turned out never to have been sent
-    bool allows(Time now) {
-        if (!told_) return true;
-        return further_.count(now, true) + 1.0 <= told_->floor + told_->ratio * taken_.count(now, false);
-    }
-
-  private:
-    std::optional<AttemptBudget> told_;
-    Window taken_, further_;
-};
-
-/// Decorrelated jitter: min(cap, base + random x (prev x 3 - base)).
-class Backoff {
-  public:
-    explicit Backoff(Duration base = kBackoffBase, Duration cap = kBackoffCap)
-        : base_(base), cap_(cap), prev_(base) {}
-    Duration next(Random& random) {
-        prev_ = std::min(cap_, base_ + scaled(prev_ * 3 - base_, random.unit()));
-        return prev_;
-    }
-
-  private:
-    Duration base_, cap_, prev_;
-};
-
 /// What this instance has seen of a class.
 struct ClassView {
     Duration usual{};      // latency of served calls, averaged
@@ -975,7 +923,7 @@
 
     void retry(std::uint64_t number, Call& call) {
         const bool allowed = call.attempts.size() < settings.limits.max_attempts && may_repeat(call);
-        const Duration left = call.request.deadline - now - kDeadlineBuffer;
+        const Duration left = left_for_retry(call.request.deadline, now);
         if (!allowed || left <= Duration{} || doomed(call.request)) return give_up(number);
         if (!call.paid && !budget.spend()) return give_up(number);
         call.paid = true;
