Quotas as shares with the rule's slack as bursts; members don't thrash at one address

Change: bursts from what the rule allows beyond the quota; a voter is replaced only by one at its address that answered later.

--- a/src/guildhall/guildhall.cpp
+++ b/src/guildhall/guildhall.cpp
@@ -51,8 +51,9 @@
           moot_(self_, std::move(disk), moot::Options{}, drawn()),
           clerk_(moot_),
           registry_(drawn(), {}),
-          grantor_({}),
+          grantor_(scale_options(settings)),
           signals_(loop_.io(), SIGTERM, SIGINT),
+          hangups_(loop_.io(), SIGHUP),
           ticker_(loop_),
           gather_(loop_),
           ending_(loop_),
@@ -100,6 +101,7 @@
             turn();
             ending_.set(loop_.now() + 300ms, [this] { loop_.stop(); });
         });
+        hang_up();
         tick();
         ring(Event::Started, "listening",
              {{"control", text_of(*settings.control)},
@@ -124,6 +126,27 @@
         Time polled{};
     };
 
+    static scales::Grantor::Options scale_options(const boot::Settings& settings) {
+        scales::Grantor::Options options;
+        options.window = settings.bounds.quota_window;
+        options.overshoot = settings.bounds.quota_overshoot;
+        options.slack = settings.bounds.quota_slack;
+        return options;
+    }
+
+    /// Seeds may be others now; the rest holds for the life of the process.
+    void hang_up() {
+        hangups_.async_wait([this](const auto& error, int) {
+            if (error) return;
+            const auto loaded = boot::load();
+            if (const auto* read = std::get_if<boot::Settings>(&loaded)) {
+                for (const Address& seed : read->seeds)
+                    dial(seed.address().to_string() + ":" + std::to_string(read->first_port));
+            }
+            hang_up();
+        });
+    }
+
     void dial(const std::string& address) {
         if (address == self_.address || peers_.contains(address) || peers_.size() >= kMostGuildhalls) return;
         const auto to = parse_address(address);
@@ -377,7 +400,7 @@
     std::vector<moot::Member> voters_;
     bool led_ = false, gathering_ = false, unsaved_ = false, turning_ = false;
     Time save_again_{}, next_hello_{};
-    asio::signal_set signals_;
+    asio::signal_set signals_, hangups_;
     Timer ticker_, gather_, ending_;
     calls::Counter counter_;
     passage::Listener listener_;
--- a/src/moot/moot.cpp
+++ b/src/moot/moot.cpp
@@ -248,15 +248,13 @@
     for (const Member& voter : voters) {
         if (voter.id == self_.id) continue;
         const auto peer = peers_.find(voter.id);
-        const bool other_here = std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) {
-            return p.first != voter.id && p.second.member.address == voter.address && !is_voter(p.first) &&
-                   now - p.second.acked < options_.lease;
-        });
-        const bool other_voter_here = std::any_of(voters.begin(), voters.end(), [&](const Member& m) {
-            return m.id != voter.id && m.address == voter.address;
+        // Another at its address that answered later than it: its disk is gone for good.
+        const bool replaced = peer != peers_.end() && std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) {
+            return p.first != voter.id && p.second.member.address == voter.address &&
+                   p.second.acked > peer->second.acked && now - p.second.acked < options_.lease;
         });
         const bool silent = peer == peers_.end() || now - peer->second.acked > options_.replace_after;
-        if (other_here || other_voter_here) {
+        if (replaced) {
             lost = &voter;
             superseded = true;
         } else if (silent && !superseded) {
--- a/src/scales/scales.cpp
+++ b/src/scales/scales.cpp
@@ -9,7 +9,7 @@
 double seconds(Duration time) {
     return std::chrono::duration<double>(time).count();
 }
-constexpr double kLeastWish = 0.5;  // a second: who has asked at all gets this much of what is there
+constexpr double kLeastWish = 0.02;  // of a quota: who has not asked yet gets this much of what is there
 constexpr double kHeadroom = 1.3;   // over what was asked for lately
 constexpr Duration kForgetTenant = 30s;
 }  // namespace
@@ -21,7 +21,7 @@
     }
     for (const Demand& demand : demands) {
         Share& share = by_tenant_[demand.tenant][stall];
-        share.wanted = demand.per_s * kHeadroom + kLeastWish;
+        share.wanted = demand.per_s * kHeadroom;
         share.heard = now;
         // Once it has taken the last answer, that is all it holds.
         if (share.number != 0 && taken >= share.number) share.out = share.granted;
@@ -56,7 +56,7 @@
         for (const auto& [name, share] : shares) {
             const bool live = now - share.heard <= options_.forget;
             if (live) {
-                wanted += share.wanted;
+                wanted += share.wanted + kLeastWish * quota.per_s;
                 ++askers;
             }
             if (name != stall && now < share.until) others_out += share.out;
@@ -66,14 +66,14 @@
         double fair = 0;
         const double even = quota.per_s / static_cast<double>(std::max<std::size_t>(askers, 1));
         if (wanted <= quota.per_s) {
-            fair = own->second.wanted +
+            fair = own->second.wanted + kLeastWish * quota.per_s +
                    (quota.per_s - wanted) / static_cast<double>(std::max<std::size_t>(askers, 1));
         } else {
             double sum = 0;
             for (const auto& [name, share] : shares) {
-                if (now - share.heard <= options_.forget) sum += std::min(share.wanted, 2 * even);
+                if (now - share.heard <= options_.forget) sum += std::min(share.wanted + kLeastWish * quota.per_s, 2 * even);
             }
-            fair = quota.per_s * std::min(own->second.wanted, 2 * even) / std::max(sum, 1e-9);
+            fair = quota.per_s * std::min(own->second.wanted + kLeastWish * quota.per_s, 2 * even) / std::max(sum, 1e-9);
         }
         Share& share = own->second;
         const double held = now < share.until ? share.out : 0.0;
@@ -85,8 +85,10 @@
         share.granted = rate;
         share.number = number_;
         share.until = now + options_.lease;
-        grants.push_back(
-            {tenant, rate, quota.burst * rate / quota.per_s,
+        // What may be taken at once over all stalls, half of it evenly, half by rate.
+        const double at_once = quota.burst + options_.slack_used * (options_.overshoot * (quota.per_s * seconds(options_.window) + quota.burst) + options_.slack);
+        const double burst = at_once * (0.5 / static_cast<double>(std::max<std::size_t>(askers, 1)) + 0.5 * rate / quota.per_s);
+        grants.push_back({tenant, rate, burst,
              static_cast<std::uint32_t>(
                  std::chrono::duration_cast<std::chrono::milliseconds>(options_.lease).count())});
     }
@@ -97,18 +99,17 @@
     const bool leased = now < bucket.until;
     const double rate = leased ? std::max(bucket.rate, floor_.per_s) : floor_.per_s;
     const double burst = leased ? std::max(bucket.burst, floor_.burst) : floor_.burst;
-    if (bucket.filled == Time{}) bucket.tokens = burst;
-    bucket.tokens = std::min(burst, bucket.tokens + rate * seconds(now - std::max(bucket.filled, Time{})));
+    if (bucket.filled == Time{}) {
+        bucket.tokens = burst;
+        bucket.filled = now;
+    }
+    bucket.tokens = std::min(burst, bucket.tokens + rate * seconds(now - bucket.filled));
     bucket.filled = now;
 }
 
 bool Scale::admits(Time now, const std::string& tenant, bool limited) {
     if (!limited) return true;
     Bucket& bucket = buckets_[tenant];
-    if (bucket.filled == Time{}) {
-        bucket.tokens = floor_.burst;
-        bucket.filled = now;
-    }
     fill(now, bucket);
     bucket.asked += 1;
     bucket.last_asked = now;
@@ -120,20 +121,28 @@
 void Scale::granted(Time now, const std::vector<Grant>& grants) {
     for (const Grant& grant : grants) {
         Bucket& bucket = buckets_[grant.tenant];
-        if (bucket.filled == Time{}) bucket.filled = now;
         fill(now, bucket);
         const bool fresh = now >= bucket.until;
         bucket.rate = grant.per_s;
         bucket.burst = std::max(grant.burst, 1.0);
         bucket.until = now + std::chrono::milliseconds(grant.lease_ms);
-        if (fresh) bucket.tokens = std::min(bucket.burst, bucket.tokens + 1);
+        if (fresh) bucket.tokens = std::max(bucket.tokens, bucket.burst / 2);
     }
 }
 
-std::vector<Demand> Scale::demands(Time now) {
+Duration Scale::until_next(Time now, const std::string& tenant) {
+    const auto it = buckets_.find(tenant);
+    if (it == buckets_.end()) return {};
+    const Bucket& bucket = it->second;
+    const double rate = std::max(now < bucket.until ? bucket.rate : 0.0, floor_.per_s);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((1 - bucket.tokens) / rate));
+}
+
+std::vector<Demand> Scale::demands(Time now, const std::vector<std::string>& tenants) {
     std::vector<Demand> out;
     const double span = told_ == Time{} ? 1.0 : std::max(0.05, seconds(now - told_));
     told_ = now;
+    for (const std::string& tenant : tenants) buckets_[tenant].last_asked = now;
     std::erase_if(buckets_, [&](const auto& b) {
         return now - b.second.last_asked > kForgetTenant && now >= b.second.until;
     });
--- a/src/scales/scales.h
+++ b/src/scales/scales.h
@@ -41,7 +41,11 @@
         Duration lease = 2500ms;
         Duration settle =
             2700ms;  ///< a new leader raises nothing before every lease that it may not know has run out
-        Duration forget = 4s;  ///< a stall that hasn't asked for so long has no share
+        Duration forget = 4s;      ///< a stall that hasn't asked for so long has no share
+        // The rule's figures: in any window a tenant may have (rate x window + burst) x (1 + overshoot) + slack.
+        Duration window = 5s;
+        double overshoot = 0.1, slack = 20;
+        double slack_used = 0.7;  ///< of what the rule allows beyond the quota; the rest is for floors and chance
     };
     explicit Grantor(const Options& options) : options_(options) {}
 
@@ -72,15 +76,17 @@
 class Scale {
   public:
     struct Floor {
-        double per_s = 0.4;
-        double burst = 2;
+        double per_s = 0.15;
+        double burst = 1;
     };
     explicit Scale(const Floor& floor) : floor_(floor) {}
     /// Whether a request of this tenant may be taken now; counts it as asked for. `limited`: it has a quota.
     bool admits(Time now, const std::string& tenant, bool limited);
     void granted(Time now, const std::vector<Grant>& grants);
-    /// To be told; tenants that were asked for lately.
-    std::vector<Demand> demands(Time now);
+    /// To be told: of each tenant that has a quota, whether it asked or not.
+    std::vector<Demand> demands(Time now, const std::vector<std::string>& tenants);
+    /// When a tenant that is refused now may be taken again.
+    Duration until_next(Time now, const std::string& tenant);
 
   private:
     struct Bucket {
--- a/src/stall/dialects.cpp
+++ b/src/stall/dialects.cpp
@@ -100,7 +100,8 @@
     }
     if (tenant && !scale_.admits(Loop::monotonic(), tenant->name, tenant->rate_per_s > 0)) {
         ++figures_.over_quota;
-        return TurnAway{http::status::too_many_requests, true, kComeBack};
+        return TurnAway{http::status::too_many_requests, true,
+                        std::max(kComeBack, scale_.until_next(Loop::monotonic(), tenant->name))};
     }
     auto left = whole_number(head[kTimeRemaining]);
     if (!head[kTimeRemaining].empty() && (!left || *left < 1 || *left > kMostTimeMs))
--- a/src/stall/stall.cpp
+++ b/src/stall/stall.cpp
@@ -194,7 +194,12 @@
         // Told anew at most so often: what is asked for is a rate.
         if (const Time now = loop_.now(); now - demanded_ >= kAnnounce / 2) {
             demanded_ = now;
-            demands_ = scale_.demands(now);
+            std::vector<std::string> tenants;
+            if (const auto* charter = outbound_.charter()) {
+                for (const auto& tenant : charter->tenants())
+                    if (tenant.rate_per_s > 0) tenants.push_back(tenant.name);
+            }
+            demands_ = scale_.demands(now, tenants);
         }
         return demands_;
     }
