Gates bound their queues by the aim; shorter leases, sooner grants by a new leader

Ruled out: processor time (0.015 of a core at most), loss in the hop. Change: a gate queues only what will still be in its aim; leases of 1.6 s, no settling time beyond one round of announcements; shares in proportion to the wish; Retry-After 0.4 to 0.8 s.

--- a/src/quay/quay.cpp
+++ b/src/quay/quay.cpp
@@ -10,7 +10,7 @@
 constexpr Duration kShunUnreached = 500ms;                           // a gate that could not be reached
 constexpr Duration kShunFailed = 300ms;                              // one whose endpoint broke off
 constexpr Duration kHintHolds = 300ms;                               // what a gate said of its queue
-constexpr Duration kComeBackLeast = 100ms, kComeBackSpread = 200ms;  // Retry-After of a refusal
+constexpr Duration kComeBackLeast = 400ms, kComeBackSpread = 400ms;  // Retry-After of a refusal
 constexpr std::size_t kMostPrepared = 4096;
 }  // namespace
 
--- a/src/quay/quay.h
+++ b/src/quay/quay.h
@@ -31,7 +31,7 @@
     std::string service;
     bool repeatable = false;
     std::int64_t max_attempts = 1;
-    Duration aim{};
+    Time aim_end{};  ///< an answer by then earns its whole worth
     std::int64_t priority = 0;
 };
 
--- a/src/scales/scales.cpp
+++ b/src/scales/scales.cpp
@@ -16,6 +16,7 @@
 
 void Grantor::heard(Time now, const std::string& stall, std::uint64_t taken,
                     const std::vector<Demand>& demands) {
+    if (listening_since_ == Time{}) listening_since_ = now;
     for (auto& [tenant, shares] : by_tenant_) {
         if (const auto it = shares.find(stall); it != shares.end()) it->second.wanted = 0;
     }
@@ -43,7 +44,7 @@
                                   const std::map<std::string, Quota>& quotas) {
     std::vector<Grant> grants;
     ++number_;
-    const bool settled = now - leading_since >= options_.settle;
+    const bool settled = now - leading_since >= options_.settle && now - listening_since_ >= options_.listened;
     for (const auto& [tenant, quota] : quotas) {
         if (quota.per_s <= 0) continue;
         const auto known = by_tenant_.find(tenant);
@@ -64,16 +65,15 @@
         // Where there is enough, the rest is spread evenly; where not, each gets in proportion to its wish,
         // of which no more than twice an even share counts.
         double fair = 0;
-        const double even = quota.per_s / static_cast<double>(std::max<std::size_t>(askers, 1));
-        if (wanted <= quota.per_s) {
+                if (wanted <= quota.per_s) {
             fair = own->second.wanted + kLeastWish * quota.per_s +
                    (quota.per_s - wanted) / static_cast<double>(std::max<std::size_t>(askers, 1));
         } else {
             double sum = 0;
             for (const auto& [name, share] : shares) {
-                if (now - share.heard <= options_.forget) sum += std::min(share.wanted + kLeastWish * quota.per_s, 2 * even);
+                if (now - share.heard <= options_.forget) sum += share.wanted + kLeastWish * quota.per_s;
             }
-            fair = quota.per_s * std::min(own->second.wanted + kLeastWish * quota.per_s, 2 * even) / std::max(sum, 1e-9);
+            fair = quota.per_s * (own->second.wanted + kLeastWish * quota.per_s) / std::max(sum, 1e-9);
         }
         Share& share = own->second;
         const double held = now < share.until ? share.out : 0.0;
--- a/src/scales/scales.h
+++ b/src/scales/scales.h
@@ -38,9 +38,11 @@
 class Grantor {
   public:
     struct Options {
-        Duration lease = 2500ms;
-        Duration settle =
-            2700ms;  ///< a new leader raises nothing before every lease that it may not know has run out
+        Duration lease = 1600ms;
+        // A new leader raises nothing at first. What the last one granted it knows from the stalls that hear both; the lease
+        // of one that hears it alone is a share of a rate, runs out soon, and is within the rule's slack.
+        Duration settle = 200ms;    ///< from when it leads
+        Duration listened = 700ms;  ///< from when it first heard a stall
         Duration forget = 4s;      ///< a stall that hasn't asked for so long has no share
         // The rule's figures: in any window a tenant may have (rate x window + burst) x (1 + overshoot) + slack.
         Duration window = 5s;
@@ -69,6 +71,7 @@
     };
     Options options_;
     std::uint64_t number_ = 0;
+    Time listening_since_{};
     std::map<std::string, std::map<std::string, Share>> by_tenant_;  // tenant, stall
 };
 
--- a/src/stall/dialects.cpp
+++ b/src/stall/dialects.cpp
@@ -20,7 +20,7 @@
 constexpr char kNotExecuted[] = "Not-Executed";
 constexpr char kSeal[] = "Server-Seal";
 // On the hop alone.
-constexpr char kHop[] = "Mesh-Hop";          // "instance;offer;repeatable;priority"
+constexpr char kHop[] = "Mesh-Hop";          // "instance;offer;repeatable;priority;ms to its aim"
 constexpr char kRefused[] = "Mesh-Refused";  // the gate has not handed it on; ms that it would have waited
 constexpr char kFailed[] = "Mesh-Failed";    // it was handed on and may have run
 
@@ -123,7 +123,7 @@
     plan.service = route->service_for(request.id);
     plan.repeatable = route->repeatable();
     plan.max_attempts = route->max_attempts;
-    plan.aim = std::chrono::milliseconds(route->aim_ms);
+    plan.aim_end = arrived + std::chrono::milliseconds(route->aim_ms > 0 ? route->aim_ms : most) - kWayBack;
     plan.priority =
         (tenant ? tenant->priority * 1000 : 0) + std::clamp<std::int64_t>(route->priority, 0, 999);
     quay_.prepare(request.id, std::move(plan));
@@ -152,7 +152,8 @@
     head.set(kHop, (instance == instances_.end() ? std::string() : instance->second) + ";" +
                        (quay_.offer(id) == quay::Offer::Queue ? "q" : "f") + ";" +
                        (plan && plan->repeatable ? "r" : "o") + ";" +
-                       std::to_string(plan ? plan->priority : 0));
+                       std::to_string(plan ? plan->priority : 0) + ";" +
+                       std::to_string(plan ? std::max<std::int64_t>(0, millis(plan->aim_end - loop_.now())) : 0));
 }
 
 std::optional<Status> HopBack::classify(const http::response_header<>& head, const HttpMessage* message,
@@ -178,7 +179,7 @@
     const auto parts = parts_of(view(head[kHop]));
     const auto id = head[kAttemptId];
     const auto left = whole_number(head[kTimeRemaining]);
-    if (parts.size() != 4 || id.empty() || id.size() > kMostId || !left || *left < 1 || *left > kMostTimeMs)
+    if (parts.size() != 5 || id.empty() || id.size() > kMostId || !left || *left < 1 || *left > kMostTimeMs)
         return TurnAway{http::status::bad_request};
     tollgate::Toll toll;
     toll.instance = parts[0];
@@ -186,6 +187,9 @@
     toll.repeatable = parts[2] == "r";
     toll.attempt_id = std::string(view(id));
     std::from_chars(parts[3].data(), parts[3].data() + parts[3].size(), toll.priority);
+    std::int64_t aim = 0;
+    std::from_chars(parts[4].data(), parts[4].data() + parts[4].size(), aim);
+    toll.aim = std::chrono::milliseconds(std::clamp<std::int64_t>(aim, 0, kMostTimeMs));
     head.erase(kHop);
     Request request;
     request.id = std::to_string(++last_);  // an id may come again here: each hop is a request of its own
--- a/src/tollgate/tollgate.cpp
+++ b/src/tollgate/tollgate.cpp
@@ -57,12 +57,20 @@
            Duration{static_cast<Duration::rep>(kLeastShare * static_cast<double>(usual_.count()))};
 }
 
+/// Whether its answer would still come within its aim. Guards against a queue in which all wait so long that nobody is
+/// served in time: who comes to a full one is told at once to come back.
+bool Tollgate::worth_waiting(const Call& call) const {
+    const Time begins = now_ + wait();
+    return begins < last_start(call) && begins + usual_ <= call.aim_end;
+}
+
 void Tollgate::on(const Request& request) {
     auto toll = prepared_.extract(request.id);
     if (toll.empty() || calls_.contains(request.id)) return;
     Call& call = calls_[request.id];
     call.request = request;
     call.toll = std::move(toll.mapped());
+    call.aim_end = now_ + call.toll.aim;
     call.number = ++last_;
     numbers_[call.number] = request.id;
     // Others can take what is new once a drain has begun; a request that has nowhere else to go says so.
@@ -76,9 +84,7 @@
         return forget(request.id);
     }
     if (out_now_ < slots_ && queue_.empty()) return send(call);
-    const Time begins = now_ + wait();
-    if (!call.toll.may_queue || queue_.size() >= options_.most_queued || begins >= last_start(call))
-        return refuse(call);
+    if (!call.toll.may_queue || queue_.size() >= options_.most_queued || !worth_waiting(call)) return refuse(call);
     call.queued = true;
     queue_[{call.toll.priority, request.deadline, call.number}] = request.id;
     out_->push_back(SetTimer{last_start(call), call.number});
--- a/src/tollgate/tollgate.h
+++ b/src/tollgate/tollgate.h
@@ -31,6 +31,7 @@
     bool repeatable = false;
     bool may_queue = true;
     std::int64_t priority = 0;
+    Duration aim{};  ///< what is left of the time in which its answer earns its worth
 };
 
 class Tollgate : public Policy {
@@ -64,6 +65,7 @@
     struct Call {
         loftfront::Request request;
         Toll toll;
+        Time aim_end{};
         bool queued = false, out = false, open = true;
         Time sent{};
         std::uint64_t number = 0;
@@ -80,6 +82,7 @@
     void forget(const RequestId& id);
     bool closed() const;
     Time last_start(const Call& call) const;
+    bool worth_waiting(const Call& call) const;
 
     Options options_;
     EndpointId id_{};
