Gates order by priority and aim, know usual times by kind, and keep who can't come back

Change: usual times by kind, EDF by aim within a priority, a request with under 0.9 s left is queued.

--- a/src/quay/quay.h
+++ b/src/quay/quay.h
@@ -29,6 +29,7 @@
 /// What a request's route says, told before the engine takes it.
 struct Plan {
     std::string service;
+    std::uint32_t kind = 0;  ///< of request, by its route
     bool repeatable = false;
     std::int64_t max_attempts = 1;
     Time aim_end{};  ///< an answer by then earns its whole worth
--- a/src/stall/dialects.cpp
+++ b/src/stall/dialects.cpp
@@ -20,7 +20,7 @@
 constexpr char kNotExecuted[] = "Not-Executed";
 constexpr char kSeal[] = "Server-Seal";
 // On the hop alone.
-constexpr char kHop[] = "Mesh-Hop";          // "instance;offer;repeatable;priority;ms to its aim"
+constexpr char kHop[] = "Mesh-Hop";          // "instance;offer;repeatable;priority;ms to its aim;kind"
 constexpr char kRefused[] = "Mesh-Refused";  // the gate has not handed it on; ms that it would have waited
 constexpr char kFailed[] = "Mesh-Failed";    // it was handed on and may have run
 
@@ -121,6 +121,7 @@
     request.write = !route->repeatable();
     quay::Plan plan;
     plan.service = route->service_for(request.id);
+    plan.kind = static_cast<std::uint32_t>(charter::digest(route->name) & 0xffffff);
     plan.repeatable = route->repeatable();
     plan.max_attempts = route->max_attempts;
     plan.aim_end = arrived + std::chrono::milliseconds(route->aim_ms > 0 ? route->aim_ms : most) - kWayBack;
@@ -153,7 +154,7 @@
                        (quay_.offer(id) == quay::Offer::Queue ? "q" : "f") + ";" +
                        (plan && plan->repeatable ? "r" : "o") + ";" +
                        std::to_string(plan ? plan->priority : 0) + ";" +
-                       std::to_string(plan ? std::max<std::int64_t>(0, millis(plan->aim_end - loop_.now())) : 0));
+                       std::to_string(plan ? std::max<std::int64_t>(0, millis(plan->aim_end - loop_.now())) : 0) + ";" + std::to_string(plan ? plan->kind : 0));
 }
 
 std::optional<Status> HopBack::classify(const http::response_header<>& head, const HttpMessage* message,
@@ -179,7 +180,7 @@
     const auto parts = parts_of(view(head[kHop]));
     const auto id = head[kAttemptId];
     const auto left = whole_number(head[kTimeRemaining]);
-    if (parts.size() != 5 || id.empty() || id.size() > kMostId || !left || *left < 1 || *left > kMostTimeMs)
+    if (parts.size() != 6 || id.empty() || id.size() > kMostId || !left || *left < 1 || *left > kMostTimeMs)
         return TurnAway{http::status::bad_request};
     tollgate::Toll toll;
     toll.instance = parts[0];
@@ -189,6 +190,7 @@
     std::from_chars(parts[3].data(), parts[3].data() + parts[3].size(), toll.priority);
     std::int64_t aim = 0;
     std::from_chars(parts[4].data(), parts[4].data() + parts[4].size(), aim);
+    std::from_chars(parts[5].data(), parts[5].data() + parts[5].size(), toll.kind);
     toll.aim = std::chrono::milliseconds(std::clamp<std::int64_t>(aim, 0, kMostTimeMs));
     head.erase(kHop);
     Request request;
--- a/src/tollgate/tollgate.cpp
+++ b/src/tollgate/tollgate.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 constexpr std::size_t kMostSpent = 20000;
+constexpr Duration kTimeToComeBack = 900ms;
+constexpr std::size_t kMostKinds = 512;
 constexpr double kLeastShare = 0.6;  // of the usual time must be left when a request is handed on
 }  // namespace
 
@@ -34,11 +36,19 @@
 
 Duration Tollgate::wait() const {
     if (slots_ == 0) return 10s;
-    if (out_now_ < slots_) return Duration{};
-    const double turns = (static_cast<double>(queue_.size()) + 1.0) / static_cast<double>(slots_);
+    return out_now_ < slots_ ? Duration{} : wait_behind(queue_.size());
+}
+
+Duration Tollgate::wait_behind(std::size_t ahead) const {
+    const double turns = (static_cast<double>(ahead) + 1.0) / static_cast<double>(std::max<std::uint32_t>(slots_, 1));
     return Duration{static_cast<Duration::rep>(turns * static_cast<double>(usual_.count()))};
 }
 
+Duration Tollgate::usual(std::uint32_t kind) const {
+    const auto it = by_kind_.find(kind);
+    return it == by_kind_.end() ? usual_ : it->second;
+}
+
 void Tollgate::handle(Time now, const loftfront::Event& event, std::vector<Action>& out) {
     now_ = now;
     out_ = &out;
@@ -54,14 +64,16 @@
 /// The latest that it is worth handing on.
 Time Tollgate::last_start(const Call& call) const {
     return call.request.deadline -
-           Duration{static_cast<Duration::rep>(kLeastShare * static_cast<double>(usual_.count()))};
+           Duration{static_cast<Duration::rep>(kLeastShare * static_cast<double>(usual(call.toll.kind).count()))};
 }
 
 /// Whether its answer would still come within its aim. Guards against a queue in which all wait so long that nobody is
-/// served in time: who comes to a full one is told at once to come back.
+/// served in time: who comes to a full one is told at once to come back. One that has no time to come back waits on.
 bool Tollgate::worth_waiting(const Call& call) const {
-    const Time begins = now_ + wait();
-    return begins < last_start(call) && begins + usual_ <= call.aim_end;
+    const auto ahead = static_cast<std::size_t>(std::distance(queue_.begin(), queue_.lower_bound(place_of(call))));
+    const Time begins = now_ + wait_behind(ahead);
+    if (begins >= last_start(call)) return false;
+    return begins + usual(call.toll.kind) <= call.aim_end || call.request.deadline - now_ < kTimeToComeBack;
 }
 
 void Tollgate::on(const Request& request) {
@@ -86,7 +98,7 @@
     if (out_now_ < slots_ && queue_.empty()) return send(call);
     if (!call.toll.may_queue || queue_.size() >= options_.most_queued || !worth_waiting(call)) return refuse(call);
     call.queued = true;
-    queue_[{call.toll.priority, request.deadline, call.number}] = request.id;
+    queue_[place_of(call)] = request.id;
     out_->push_back(SetTimer{last_start(call), call.number});
 }
 
@@ -109,7 +121,7 @@
 void Tollgate::refuse(Call& call) {
     const RequestId id = call.request.id;
     call.open = false;
-    if (call.queued) queue_.erase({call.toll.priority, call.request.deadline, call.number});
+    if (call.queued) queue_.erase(place_of(call));
     call.queued = false;
     out_->push_back(Refuse{id, Duration{}});
     forget(id);
@@ -138,7 +150,13 @@
     const bool never_ran = outcome.status == Status::Full || outcome.status == Status::ConnectFailed ||
                            outcome.status == Status::Moot;
     if (never_ran && !call.toll.repeatable) spent_.erase(call.toll.attempt_id);
-    if (outcome.status == Status::Ok) usual_ += (now_ - call.sent - usual_) / 16;
+    if (outcome.status == Status::Ok) {
+        const Duration took = now_ - call.sent;
+        usual_ += (took - usual_) / 16;
+        if (by_kind_.size() >= kMostKinds) by_kind_.clear();
+        const auto [kind, fresh] = by_kind_.try_emplace(call.toll.kind, took);
+        if (!fresh) kind->second += (took - kind->second) / 16;
+    }
     if (outcome.last) call.open = false;
     if (call.open) {
         call.open = false;
@@ -153,7 +171,7 @@
     if (known == calls_.end()) return;
     Call& call = known->second;
     call.open = false;
-    if (call.queued) queue_.erase({call.toll.priority, call.request.deadline, call.number});
+    if (call.queued) queue_.erase(place_of(call));
     call.queued = false;
     // The caller's stall has gone or given up: what may be repeated needn't hold a slot any longer.
     if (call.out && call.toll.repeatable) out_->push_back(Cancel{lapsed.id, 0});
--- a/src/tollgate/tollgate.h
+++ b/src/tollgate/tollgate.h
@@ -31,6 +31,7 @@
     bool repeatable = false;
     bool may_queue = true;
     std::int64_t priority = 0;
+    std::uint32_t kind = 0;  ///< of request: those alike take alike
     Duration aim{};  ///< what is left of the time in which its answer earns its worth
 };
 
@@ -83,6 +84,10 @@
     bool closed() const;
     Time last_start(const Call& call) const;
     bool worth_waiting(const Call& call) const;
+    Duration usual(std::uint32_t kind) const;
+    Duration wait_behind(std::size_t ahead) const;
+    using Place = std::tuple<std::int64_t, Time, std::uint64_t>;
+    static Place place_of(const Call& call) { return {call.toll.priority, call.aim_end, call.number}; }
 
     Options options_;
     EndpointId id_{};
@@ -90,12 +95,13 @@
     std::uint32_t slots_ = 0;
     std::optional<Time> drains_since_;
     std::size_t out_now_ = 0;
-    Duration usual_ = 150ms;  // how long the endpoint takes, averaged
+    Duration usual_ = 150ms;                            // how long the endpoint takes, averaged
+    std::unordered_map<std::uint32_t, Duration> by_kind_;  // and for requests of one kind
     std::unordered_map<RequestId, Toll> prepared_;
     std::unordered_map<RequestId, Call> calls_;
     std::map<std::uint64_t, RequestId> numbers_;
-    /// By priority, then by who has least time, then by who came first.
-    std::map<std::tuple<std::int64_t, Time, std::uint64_t>, RequestId> queue_;
+    /// By priority, then by whose aim ends first, then by who came first.
+    std::map<Place, RequestId> queue_;
     std::deque<std::pair<Time, std::string>> spent_order_;
     std::set<std::string> spent_;  // ids that must not run twice and were handed on
     std::uint64_t last_ = 0;
