FrameReader has one constructor without arguments

Cause: two, ambiguous in a file that the mesh's targets do not build; the build of balancer.toml failed. Change: the bound has no default in the second.

--- a/src/framing/frame.h
+++ b/src/framing/frame.h
@@ -32,7 +32,7 @@
   public:
     FrameReader() = default;
     /// Takes messages of `most` bytes at most.
-    explicit FrameReader(std::size_t most = kMostFrame) : most_(most) {}
+    explicit FrameReader(std::size_t most) : most_(most) {}
     void feed(std::string_view bytes) {
         held_.erase(0, std::exchange(used_, 0));
         held_.append(bytes);
