A restarted stall asks its endpoint's health; first elections come sooner

Cause: after a kill of all, gates knew of no endpoint until the next beat (up to 1.5 s), and the first election took as long as one after a silence. Change: up to four probes of the health path until a beat has come; a first election after 0.1 to 0.6 s; waits learnt by route and tenant's priority; a new leader grants 0.3 s after it first heard stalls.

--- a/src/moot/moot.cpp
+++ b/src/moot/moot.cpp
@@ -70,7 +70,11 @@
 }
 
 void Moot::tick(Time now) {
-    if (election_at_ == Time{}) draw_election(now);
+    // One that has just started would have heard a leader by now if there were one.
+    if (election_at_ == Time{})
+        election_at_ = now + options_.heartbeat +
+                       Duration{static_cast<Duration::rep>(
+                           random() % static_cast<std::uint64_t>(options_.election_least.count()))};
     if (role_ == Role::Leader) {
         // A leader that no majority hears is none: guards against two that both answer.
         if (disk_.newest.voters.size() > 1 && now - quorum_at_ >= options_.lease) {
--- a/src/scales/scales.h
+++ b/src/scales/scales.h
@@ -43,7 +43,7 @@
         // both; the lease of one that hears it alone is a share of a rate, runs out soon, and is within the
         // rule's slack.
         Duration settle = 200ms;    ///< from when it leads
-        Duration listened = 700ms;  ///< from when it first heard a stall
+        Duration listened = 300ms;  ///< from when it first heard a stall
         Duration forget = 4s;       ///< a stall that hasn't asked for so long has no share
         // The rule's figures: in any window a tenant may have (rate x window + burst) x (1 + overshoot) +
         // slack.
--- a/src/stall/dialects.cpp
+++ b/src/stall/dialects.cpp
@@ -17,6 +17,7 @@
 constexpr char kTenantName[] = "Tenant-Name";
 constexpr char kCallerService[] = "Caller-Service";
 constexpr char kExpectedInstance[] = "Expected-Instance";
+constexpr char kInstanceId[] = "Instance-Id";
 constexpr char kNotExecuted[] = "Not-Executed";
 constexpr char kSeal[] = "Server-Seal";
 // On the hop alone.
@@ -122,7 +123,8 @@
     request.write = !route->repeatable();
     quay::Plan plan;
     plan.service = route->service_for(request.id);
-    plan.kind = static_cast<std::uint32_t>(charter::digest(route->name) & 0xffffff);
+    plan.kind = static_cast<std::uint32_t>(
+        charter::digest(route->name, tenant ? static_cast<std::uint64_t>(tenant->priority) : 0) & 0xffffff);
     plan.repeatable = route->repeatable();
     plan.max_attempts = route->max_attempts;
     plan.aim_end = arrived + std::chrono::milliseconds(route->aim_ms > 0 ? route->aim_ms : most) - kWayBack;
@@ -221,11 +223,17 @@
     head.set(kExpectedInstance, gate_.instance());
 }
 
+void EndpointBack::prepare_probe(http::request_header<>& head) {
+    head.target(health_path_);
+    head.set(http::field::host, "endpoint");
+}
+
 std::optional<Status> EndpointBack::classify(const http::response_header<>& head, const HttpMessage* message,
                                              EndpointId) {
     const auto id = view(head[kAttemptId]);
     const unsigned status = head.result_int();
     const bool not_run = !head[kNotExecuted].empty() || status == 421;
+    if (!message) return status == 200 && !head[kInstanceId].empty() ? Status::Ok : Status::Error;  // a probe
     if (message && !id.empty() && id != message->field(kAttemptId)) return std::nullopt;
     // What doesn't say which request it answers is not taken for the answer to this one, unless it says that
     // none ran.
--- a/src/stall/dialects.h
+++ b/src/stall/dialects.h
@@ -93,8 +93,9 @@
 class EndpointBack : public BackDialect {
   public:
     explicit EndpointBack(tollgate::Tollgate& gate) : gate_(gate) {}
+    void ask_health_at(const std::string& path) { health_path_ = path; }
     void prepare(http::request_header<>& head, const HttpMessage& message, EndpointId to, Time end) override;
-    void prepare_probe(http::request_header<>&) override {}
+    void prepare_probe(http::request_header<>& head) override;
     std::optional<loftfront::Status> classify(const http::response_header<>& head, const HttpMessage* message,
                                               EndpointId from) override;
     bool passes_heads() const override { return true; }
@@ -102,6 +103,7 @@
 
   private:
     tollgate::Tollgate& gate_;
+    std::string health_path_ = "/health";
 };
 
 }  // namespace martenford::stall
--- a/src/stall/stall.cpp
+++ b/src/stall/stall.cpp
@@ -38,6 +38,9 @@
 constexpr Duration kHopIdle = 12s, kEndpointIdle = 6s;
 constexpr std::size_t kMostGuildhalls = 32;
 constexpr std::size_t kSpareSockets = 96;
+constexpr int kMostProbes = 4;  // of an endpoint whose beats this stall has not heard yet
+constexpr Duration kProbeAgain = 250ms;
+constexpr std::uint32_t kAssumedSlots = 4;  // of an endpoint until its beat tells them
 constexpr Duration kFiguresEvery = 10s;
 constexpr Duration kLeastDrain =
     2600ms;  // clients see two misses of readiness before connections are turned away
@@ -109,7 +112,8 @@
                      64, readiness_counters_),
           signals_(loop_.io(), SIGTERM, SIGINT),
           hangups_(loop_.io(), SIGHUP),
-          ticker_(loop_) {
+          ticker_(loop_),
+          again_(loop_) {
         engine_.start();
         gate_engine_.start();
         place_.node = settings.node_name;
@@ -230,6 +234,10 @@
         if (const auto* read = std::get_if<charter::Config>(&config)) {
             version_ = version;
             outbound_.serve(std::make_shared<const charter::Charter>(version, *read));
+            if (const auto* cluster = outbound_.charter()->cluster(settings_.service);
+                cluster && !cluster->health_path.empty())
+                endpoint_back_.ask_health_at(cluster->health_path);
+            find_endpoint();
             demanded_ = {};  // tenants that are new have no share yet
             announce();
             ring(Event::CharterServed, "serves by", {{"version", charter::text_of(version)}});
@@ -320,6 +328,32 @@
         }
         return {200, "{}"};
     }
+    /// A stall that has just started doesn't wait for the next beat of an endpoint that may have been there
+    /// all along.
+    void find_endpoint() {
+        if (!settings_.app || !place_.instance.empty() || probes_ >= kMostProbes || last_seq_ >= 0) return;
+        ++probes_;
+        const EndpointId id{++last_id_};
+        to_endpoint_.place(id, *settings_.app, true);
+        to_endpoint_.probe(id, [this, id](Result&& result) {
+            const auto* head = dynamic_cast<const HttpAnswerHead*>(result.head.get());
+            if (result.status == loftfront::Status::Ok && head && place_.instance.empty() && last_seq_ < 0) {
+                const auto instance = head->fields["Instance-Id"];
+                place_.instance = std::string(instance.data(), instance.size());
+                place_.state = rolls::State::Ready;
+                place_.slots = kAssumedSlots;
+                endpoint_ = id;
+                beat_at_ = loop_.now();
+                gate_.endpoint(endpoint_, place_.instance, place_.slots);
+                ring(Event::EndpointSeen, "endpoint, by its health", {{"id", place_.instance}});
+                changed();
+            } else {
+                to_endpoint_.remove(id);
+                if (place_.instance.empty())
+                    again_.set(loop_.now() + kProbeAgain, [this] { find_endpoint(); });
+            }
+        });
+    }
     calls::Response deregister(const calls::Call& call) {
         if (call.id == place_.instance) gone("deregistered");
         return {200, "{}"};
@@ -453,14 +487,14 @@
     EndpointId endpoint_{};
     std::int64_t last_seq_ = -1;
     Time beat_at_{}, announced_{}, demanded_{}, figured_{};
-    int unreached_ = 0, draining_ = 0;
+    int unreached_ = 0, draining_ = 0, probes_ = 0;
     std::vector<scales::Demand> demands_;
     std::set<std::string> past_;
     std::deque<std::string> past_order_;
     std::uint32_t version_ = 0;
     bool stopping_ = false, in_touch_ = false;
     asio::signal_set signals_, hangups_;
-    Timer ticker_;
+    Timer ticker_, again_;
 };
 
 int main_of(int argc, char** argv) {
--- a/src/tollgate/tollgate.cpp
+++ b/src/tollgate/tollgate.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 constexpr std::size_t kMostSpent = 20000;
-constexpr double kSlipGain = 0.1, kSlipMost = 8;
+constexpr double kSlipGain = 0.1, kSlipMost = 4;
 constexpr Duration kTimeToComeBack = 900ms;
 constexpr std::size_t kMostKinds = 512;
 constexpr double kLeastShare = 0.6;  // of the usual time must be left when a request is handed on
