A stall that ends in order keeps what is out there, and takes in nothing anew

Ruled out: the front's drain (the requests were broken off at the gate's side). Change: Berths, pure: work is withdrawn only from a stall that is dead or silent; after SIGTERM beats open nothing.

--- a/src/stall/stall.cpp
+++ b/src/stall/stall.cpp
@@ -20,6 +20,7 @@
 #include "http1/back.h"
 #include "http1/front.h"
 #include "passage/channel.h"
+#include "quay/berths.h"
 #include "stall/dialects.h"
 
 namespace martenford::stall {
@@ -247,31 +248,19 @@
     // ---- what is known of others
 
     void apply(const std::vector<std::string>& nodes) {
-        for (const std::string& node : nodes) {
-            const auto known = view_.all().find(node);
-            const auto berth = berths_.find(node);
-            const rolls::Place* place = known == view_.all().end() ? nullptr : &known->second.place;
-            const auto address = place ? parse_address(place->gate) : std::nullopt;
-            const bool there = address && !place->instance.empty() && place->state != rolls::State::Absent;
-            const std::string key = there ? place->gate + " " + place->instance + " " + place->service : "";
-            if (berth != berths_.end() && (!there || berth->second.key != key)) {
-                withdraw(berth->second.id);
-                hops_.remove(berth->second.id);
-                hop_back_.forget(berth->second.id);
-                quay_.remove(berth->second.id);
-                berths_.erase(berth);
+        using Kind = quay::Berths::Step::Kind;
+        for (const auto& step : berths_.apply(view_, nodes)) {
+            if (step.kind == Kind::Withdraw) {
+                withdraw(step.id);
+            } else if (step.kind == Kind::Remove) {
+                hops_.remove(step.id);
+                hop_back_.forget(step.id);
+                quay_.remove(step.id);
+            } else if (const auto at = parse_address(step.gate)) {
+                hop_back_.name(step.id, step.instance);
+                hops_.place(step.id, *at, true);
+                quay_.berth(step.id, step.berth);
             }
-            if (!there) continue;
-            auto& held = berths_[node];
-            if (held.key.empty()) {
-                held = {EndpointId{++last_id_}, key, false};
-                hop_back_.name(held.id, place->instance);
-            }
-            hops_.place(held.id, *address, true);
-            quay_.berth(held.id, {place->service, place->zone, place->state == rolls::State::Ready,
-                                  known->second.silent});
-            if (known->second.silent && !held.silent) withdraw(held.id);
-            held.silent = known->second.silent;
         }
     }
     /// What is out at a stall that is gone or silent, and may be repeated, goes elsewhere.
@@ -300,6 +289,8 @@
         const auto at = parse_address(address);
         if (!at || slots < 1 || slots > 100000 || (state != "ready" && state != "draining"))
             return {400, R"({"error":"a field is out of range"})"};
+        // Guards against taking in anew what was sent away at SIGTERM: its endpoint may go on beating.
+        if (stopping_) return {200, "{}"};
         const Time now = loop_.now();
         if (call.id != place_.instance) {
             if (past_.contains(call.id)) return {200, "{}"};  // late word of a life that is over
@@ -331,7 +322,7 @@
     /// A stall that has just started doesn't wait for the next beat of an endpoint that may have been there
     /// all along.
     void find_endpoint() {
-        if (!settings_.app || !place_.instance.empty() || probes_ >= kMostProbes || last_seq_ >= 0) return;
+        if (stopping_ || !settings_.app || !place_.instance.empty() || probes_ >= kMostProbes || last_seq_ >= 0) return;
         ++probes_;
         const EndpointId id{++last_id_};
         to_endpoint_.place(id, *settings_.app, true);
@@ -474,14 +465,9 @@
     Engine engine_, gate_engine_;
     Http1Front front_, gate_front_;
     calls::Counter control_, readiness_;
-    struct Held {
-        EndpointId id{};
-        std::string key;
-        bool silent = false;
-    };
     std::map<std::string, Guildhall> guildhalls_;
     rolls::View view_;
-    std::map<std::string, Held> berths_;
+    quay::Berths berths_;
     std::uint32_t last_id_ = 0;
     rolls::Place place_;
     EndpointId endpoint_{};
--- a/tests/mesh/quay_test.cpp
+++ b/tests/mesh/quay_test.cpp
@@ -4,8 +4,11 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 
+#include "quay/berths.h"
+
 using namespace martenford;
 using namespace martenford::quay;
 using namespace loftfront;
@@ -190,3 +193,41 @@
     desk.ask("last");
     CHECK(desk.next<Send>()->endpoint == EndpointId{1});
 }
+
+TEST_CASE("a stall that ends in order keeps what is out there; a dead or silent one gives it back") {
+    rolls::View view;
+    Berths berths;
+    const Time now{10s};
+    rolls::Place place;
+    place.node = "n";
+    place.life = 1;
+    place.gate = "10.0.0.1:8000";
+    place.service = "s";
+    place.instance = "i-1";
+    place.state = rolls::State::Ready;
+    const auto told = [&](bool whole) {
+        ++place.seq;
+        return berths.apply(view, view.take(now, "g", {1, place.seq, whole, {place}, {}}));
+    };
+    const auto withdrawn = [](const std::vector<Berths::Step>& steps) {
+        return std::any_of(steps.begin(), steps.end(),
+                           [](const auto& s) { return s.kind == Berths::Step::Kind::Withdraw; });
+    };
+    CHECK_FALSE(withdrawn(told(true)));
+    // SIGTERM: its stall says that the endpoint is gone, and answers for what it has.
+    place.state = rolls::State::Absent;
+    place.instance.clear();
+    const auto leaving = told(false);
+    REQUIRE(leaving.size() == 1);
+    CHECK(leaving.front().kind == Berths::Step::Kind::Remove);
+    // It comes back as another life, beside another endpoint; then it is killed and another life is told.
+    place.life = 2;
+    place.instance = "i-2";
+    place.state = rolls::State::Ready;
+    CHECK_FALSE(withdrawn(told(false)));
+    place.life = 3;
+    place.instance = "i-3";
+    CHECK(withdrawn(told(false)));
+    place.silent = true;
+    CHECK(withdrawn(told(false)));
+}
