A stall that stops ends as soon as nothing is under way

Change: the endpoint is used for a quarter of the grace time, clients' connections are served for half of it, and the process ends when both are empty.

--- a/src/stall/dialects.cpp
+++ b/src/stall/dialects.cpp
@@ -74,8 +74,9 @@
 
 DrainTimes OutboundFront::drain_times() const {
     // Its endpoint has ended; clients leave once readiness says so. All is answered a little before SIGKILL.
+    // It ends as soon as nothing is under way: the machine may be wanted again.
     const Duration end = settings_.bounds.grace - 500ms;
-    return {std::min<Duration>(2500ms, end / 2), 100ms, end, 500ms};
+    return {end * 45 / 100, 100ms, end, end / 2};
 }
 
 std::variant<Request, TurnAway> OutboundFront::read(Fields& head, Time arrived) {
@@ -178,7 +179,7 @@
 
 DrainTimes HopFront::drain_times() const {
     const Duration end = settings_.bounds.grace - 300ms;
-    return {end - 500ms, 100ms, end, 100ms};
+    return {end * 45 / 100, 100ms, end, end / 2};
 }
 
 std::variant<Request, TurnAway> HopFront::read(Fields& head, Time arrived) {
--- a/src/stall/stall.cpp
+++ b/src/stall/stall.cpp
@@ -290,7 +290,7 @@
         if (!at || slots < 1 || slots > 100000 || (state != "ready" && state != "draining"))
             return {400, R"({"error":"a field is out of range"})"};
         // Guards against taking in anew what was sent away at SIGTERM: its endpoint may go on beating.
-        if (stopping_) return {200, "{}"};
+        if (stopping_ && call.id != place_.instance) return {200, "{}"};
         const Time now = loop_.now();
         if (call.id != place_.instance) {
             if (past_.contains(call.id)) return {200, "{}"};  // late word of a life that is over
@@ -322,7 +322,9 @@
     /// A stall that has just started doesn't wait for the next beat of an endpoint that may have been there
     /// all along.
     void find_endpoint() {
-        if (stopping_ || !settings_.app || !place_.instance.empty() || probes_ >= kMostProbes || last_seq_ >= 0) return;
+        if (stopping_ || !settings_.app || !place_.instance.empty() || probes_ >= kMostProbes ||
+            last_seq_ >= 0)
+            return;
         ++probes_;
         const EndpointId id{++last_id_};
         to_endpoint_.place(id, *settings_.app, true);
@@ -425,7 +427,8 @@
     void drain() {
         if (std::exchange(stopping_, true)) return;
         ring(Event::Stopping, "stopping");
-        gone("stopping");
+        // Its endpoint, if it is still there, is used on while clients leave.
+        again_.set(loop_.now() + settings_.bounds.grace / 4, [this] { gone("stopping"); });
         const auto done = [this] {
             if (--draining_ == 0) loop_.stop();
         };
