--- a/src/guildhall/guildhall.cpp
+++ b/src/guildhall/guildhall.cpp
@@ -233,7 +233,8 @@
             passage::Grants grants;
             if (moot_.leads(now)) {
                 grants.leads = true;
-                grants.grants = grantor_.grant(now, *moot_.leading_since(), announce->place.node, quotas());
+                grants.grants = grantor_.grant(now, *moot_.leading_since(), announce->place.node, quotas(),
+                                               registry_.size(), registry_.size() - registry_.live());
             }
             grants.number = grantor_.number();
             grants.stalls = static_cast<std::uint32_t>(registry_.live());
--- a/src/rolls/rolls.h
+++ b/src/rolls/rolls.h
@@ -60,6 +60,7 @@
     std::uint64_t epoch() const { return epoch_; }
     /// Stalls heard of within their lease.
     std::size_t live() const;
+    std::size_t size() const { return held_.size(); }
     std::uint64_t refused() const { return refused_; }
     template <class F>
     void each(F&& f) const {
--- a/src/scales/scales.cpp
+++ b/src/scales/scales.cpp
@@ -42,13 +42,17 @@
 }
 
 std::vector<Grant> Grantor::grant(Time now, Time leading_since, const std::string& stall,
-                                  const std::map<std::string, Quota>& quotas) {
+                                  const std::map<std::string, Quota>& quotas, std::size_t stalls,
+                                  std::size_t silent) {
     std::vector<Grant> grants;
     ++number_;
     const bool settled =
         now - leading_since >= options_.settle && now - listening_since_ >= options_.listened;
-    for (const auto& [tenant, quota] : quotas) {
-        if (quota.per_s <= 0) continue;
+    const double kept =
+        stalls == 0 ? 0.0 : options_.kept * static_cast<double>(silent) / static_cast<double>(stalls);
+    for (const auto& [tenant, whole] : quotas) {
+        if (whole.per_s <= 0) continue;
+        const Quota quota{whole.per_s * (1 - kept), whole.burst * (1 - kept)};
         const auto known = by_tenant_.find(tenant);
         if (known == by_tenant_.end()) continue;
         auto& shares = known->second;
@@ -117,7 +121,9 @@
 bool Scale::admits(Time now, const std::string& tenant, const Quota& quota, std::size_t stalls) {
     if (quota.per_s <= 0) return true;
     Bucket& bucket = buckets_[tenant];
-    const double part = floor_.share / static_cast<double>(std::max(stalls, kFewestStalls));
+    const bool lately = bucket.until != Time{} && now < bucket.until + floor_.keep;
+    const double part =
+        (lately ? floor_.kept : floor_.share) / static_cast<double>(std::max(stalls, kFewestStalls));
     bucket.floor_rate = quota.per_s * part;
     bucket.floor_burst = std::max(floor_.burst, quota.burst * part);
     fill(now, bucket);
--- a/src/scales/scales.h
+++ b/src/scales/scales.h
@@ -49,6 +49,7 @@
         // slack.
         Duration window = 5s;
         double overshoot = 0.1, slack = 20;
+        double kept = 0.8;  ///< of an even share, for a stall that is known and not heard
         double slack_used =
             0.7;  ///< of what the rule allows beyond the quota; the rest is for floors and chance
     };
@@ -60,8 +61,11 @@
     /// The number of the answer that grant() gives next or gave last.
     std::uint64_t number() const { return number_; }
     /// The leader's answer to it: shares for what it asked for.
+    /// `stalls` are known, of which `silent` were not heard within their lease: for those an even share is
+    /// kept, since they may be cut off and serve on by it.
     std::vector<Grant> grant(Time now, Time leading_since, const std::string& stall,
-                             const std::map<std::string, Quota>& quotas);
+                             const std::map<std::string, Quota>& quotas, std::size_t stalls,
+                             std::size_t silent);
 
   private:
     struct Share {
@@ -84,8 +88,11 @@
     /// Of a stall that has no lease: a part of an even share, small enough that as many as may be cut off at
     /// once stay within the rule's overshoot beside the others' leases.
     struct Floor {
-        double share = 0.25;
-        double burst = 1;  ///< at least
+        double kept =
+            0.8;  ///< for `keep` after its last lease: the grantor keeps as much for those that it knows
+        Duration keep = 14s;  ///< shorter than the rolls remember a stall that is not heard
+        double share = 0.25;  ///< later, and before its first lease
+        double burst = 1;     ///< at least
     };
     explicit Scale(const Floor& floor) : floor_(floor) {}
     /// Whether a request of this tenant may be taken now; counts it as asked for. `stalls`: how many there
--- a/tests/mesh/shares_test.cpp
+++ b/tests/mesh/shares_test.cpp
@@ -112,7 +112,7 @@
                 for (auto& grantor : leaders)
                     grantor.heard(now, name, &grantor == &leaders[leader] ? taken[i] : 0, demands);
                 if (now < since) continue;
-                const auto grants = leaders[leader].grant(now, since, name, quotas);
+                const auto grants = leaders[leader].grant(now, since, name, quotas, 12, 0);
                 if (random.unit() < 0.1) continue;  // the answer is lost
                 stalls[i].granted(now, grants);
                 taken[i] = leaders[leader].number();
@@ -132,10 +132,39 @@
     int admitted = 0;
     for (int i = 0; i < 160; ++i, now += 10ms) admitted += scale.admits(now, "t", {100, 10}, 12);
     CHECK(admitted >= 150);
-    now += 10ms;
+    now += 30s;
     admitted = 0;
     for (int i = 0; i < 1000; ++i, now += 10ms) admitted += scale.admits(now, "t", {100, 10}, 12);
     CHECK(admitted >= 20);  // a quarter of an even share of 100 a second, for 10 s
     CHECK(admitted <= 25);
     CHECK(scale.admits(now, "unlimited", {0, 0}, 12));
 }
+
+TEST_CASE("quotas: stalls that are cut off serve on by what is kept for them, within the rule") {
+    const std::map<std::string, Quota> quotas{{"t", {50, 50}}};
+    std::vector<Scale> stalls(12, Scale({}));
+    std::vector<std::uint64_t> taken(12);
+    Grantor leader({});
+    Time now{10s};
+    const Time since = now, cut = now + 10s;
+    std::deque<Time> admitted;
+    std::size_t most = 0, by_cut = 0;
+    for (int step = 0; step < 2400; ++step, now += 10ms) {
+        for (std::size_t i = 0; i < stalls.size(); ++i) {
+            const bool away = i < 4 && now >= cut;
+            if (step % 2 == 0 && stalls[i].admits(now, "t", {50, 50}, 12)) {
+                admitted.push_back(now);
+                by_cut += away;
+            }
+            if ((step + static_cast<int>(i) * 4) % 50 != 0 || away) continue;
+            const std::string name = "s" + std::to_string(i);
+            leader.heard(now, name, taken[i], stalls[i].demands(now, {"t"}));
+            stalls[i].granted(now, leader.grant(now, since, name, quotas, 12, now >= cut + 1600ms ? 4 : 0));
+            taken[i] = leader.number();
+        }
+        while (!admitted.empty() && admitted.front() <= now - 5s) admitted.pop_front();
+        most = std::max(most, admitted.size());
+    }
+    CHECK(static_cast<double>(most) <= (50 * 5 + 50) * 1.1 + 20);
+    CHECK(by_cut >= 150);  // four of twelve for 14 s: an even share is 230
+}
