--- a/src/charter/charter.cpp
+++ b/src/charter/charter.cpp
@@ -245,7 +245,7 @@
         for (const std::string& key : tenants_[i].api_keys) keys_.emplace(key, i);
     }
     for (const Listener& listener : config.listeners) {
-        auto& by_prefix = routes_[lower(listener.host)];
+        Host& host = routes_[lower(listener.host)];
         for (const Rule& rule : listener.rule_set) {
             Route route{rule.name,
                         *kind_of(rule.route_kind),
@@ -265,7 +265,8 @@
                     route.services.emplace_back(split.service, sum);
                 }
             }
-            by_prefix.emplace(rule.matcher.path_prefix, std::move(route));
+            host.longest = std::max(host.longest, rule.matcher.path_prefix.size());
+            host.by_prefix.emplace(rule.matcher.path_prefix, std::move(route));
         }
     }
 }
@@ -273,11 +274,14 @@
 const Route* Charter::route(std::string_view host, std::string_view path) const {
     if (const auto colon = host.find(':'); colon != host.npos) host = host.substr(0, colon);
     path = path.substr(0, path.find('?'));
-    const auto by_prefix = routes_.find(lower(host));
-    if (by_prefix == routes_.end()) return nullptr;
+    const auto found_host = routes_.find(lower(host));
+    if (found_host == routes_.end()) return nullptr;
+    const Host& known = found_host->second;
+    // Guards against a path of thousands of slashes, each of which would be a look-up.
+    path = path.substr(0, known.longest);
     for (auto slash = path.rfind('/'); slash != path.npos; slash = path.rfind('/', slash - 1)) {
-        const auto found = by_prefix->second.find(std::string(path.substr(0, slash + 1)));
-        if (found != by_prefix->second.end()) return &found->second;
+        const auto found = known.by_prefix.find(std::string(path.substr(0, slash + 1)));
+        if (found != known.by_prefix.end()) return &found->second;
         if (slash == 0) break;
     }
     return nullptr;
--- a/src/charter/charter.h
+++ b/src/charter/charter.h
@@ -144,7 +144,11 @@
     std::unordered_map<std::string, Cluster> clusters_;
     // By host; within it by prefix. Prefixes end with a slash, so that one look for each slash of a path
     // finds the longest.
-    std::unordered_map<std::string, std::unordered_map<std::string, Route>> routes_;
+    struct Host {
+        std::unordered_map<std::string, Route> by_prefix;
+        std::size_t longest = 0;  // prefix: a path is looked at no further
+    };
+    std::unordered_map<std::string, Host> routes_;
 };
 
 /// 64 bits that are the same everywhere: for splits and placement.
--- a/tests/mesh/day_test.cpp
+++ b/tests/mesh/day_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -40,6 +41,10 @@
         front_.listen(*parse_address(at));
     }
     const std::string& id() const { return id_; }
+    /// Listens no more; it stays until the loop has run all that it had begun.
+    void end() {
+        front_.drain([] {}, true);
+    }
     std::string beat(const std::string& service, const std::string& state) {
         return R"({"address":")" + at_ + R"(","node_info":{"service":")" + service +
                R"(","version":"v1","zone":"z","slots":4},"status":{"state":")" + state + R"(","call_seq":)" +
@@ -110,6 +115,8 @@
             ::waitpid(pid, nullptr, 0);
         }
         std::filesystem::remove_all(folder_);
+        endpoints.clear();  // before the loop that they listen in
+        past_.clear();
     }
     static std::string core(int i) { return "127.0.91." + std::to_string(i); }
     static std::string side(int i) { return "127.0.92." + std::to_string(i); }
@@ -135,7 +142,10 @@
     }
     static std::string service(int i) { return i <= 3 ? "web" : "vault"; }
     void add_endpoint(int i, const std::string& id) {
-        endpoints[i].reset();
+        if (endpoints[i]) {
+            endpoints[i]->end();
+            past_.push_back(std::move(endpoints[i]));
+        }
         endpoints[i] = std::make_unique<Endpoint>(loop_, id, side(i) + ":" + port(1), ran, counters_);
     }
     void end(const std::string& name, int signal) {
@@ -268,6 +278,7 @@
         const std::string config = folder_ + "/" + name + ".toml", log = folder_ + "/" + name + ".log";
         const pid_t pid = ::fork();
         if (pid == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // a test that crashes leaves nobody on these ports
             const int to = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(to, 1);
             ::dup2(to, 2);
@@ -283,6 +294,7 @@
     Loop loop_;
     Counters counters_;
     std::map<std::string, pid_t> processes_;
+    std::vector<std::unique_ptr<Endpoint>> past_;
 };
 
 std::string config(const std::string& version, const std::string& base, const std::string& more = "") {
