--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -543,7 +543,7 @@
 
 void Http1Front::closed(Clients& among, Clients::iterator place) {
     among.erase(place);
-    if (closing_ && empty()) return drained_();
+    if (closing_ && empty()) return ended();
     accept();
 }
 
@@ -574,7 +574,13 @@
 void Http1Front::stop_serving() {
     closing_ = true;
     close_idle();
-    if (empty()) drained_();
+    if (empty()) ended();
+}
+
+/// Tells once that nothing is left. Guards against a process with two fronts that takes one's end told twice
+/// for both ends.
+void Http1Front::ended() {
+    if (!std::exchange(ended_, true)) drained_();
 }
 
 void Http1Front::close_idle() {
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -33,9 +33,9 @@
     bool listening() const { return acceptor_.is_open(); }
     int listener() { return acceptor_.native_handle(); }
 
-    /// Stops in order: accepts and serves what still comes, answers all that was taken, then calls `done`.
-    /// Where another process accepts from the same listener (`replaced`), nothing more is accepted here, and
-    /// clients are told to come back on new connections.
+    /// Stops in order: accepts and serves what still comes, answers all that was taken, then calls `done`
+    /// once. Where another process accepts from the same listener (`replaced`), nothing more is accepted
+    /// here, and clients are told to come back on new connections.
     void drain(std::function<void()> done, bool replaced);
     /// Sends clients away while the process stays: not ready, their connections closed as they fall idle,
     /// within 4 s (of the platform's drain), without a request lost. A second call changes nothing.
@@ -71,6 +71,7 @@
     void closed(Clients& among, Clients::iterator place);
     void stop_accepting();
     void stop_serving();
+    void ended();
     std::size_t held() const { return waiting_.size() + begun_.size() + busy_.size(); }
     bool full() const { return held() >= most_; }
     bool empty() const { return held() == 0; }
@@ -92,7 +93,7 @@
     Counter& room_made_;
     std::function<void()> drained_;
     Time answers_end_{};  // after SIGTERM: when all that is taken must be answered
-    bool closing_ = false;
+    bool closing_ = false, ended_ = false;
 };
 
 }  // namespace martenford
--- /dev/null
+++ b/tests/mesh/front_test.cpp
@@ -0,0 +1,85 @@
+// A front that is drained tells its end once, and not before what it took is answered.
+#include "http1/front.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/write.hpp>
+
+#include "http1/dialect.h"
+
+using namespace martenford;
+
+namespace {
+
+struct Fixture : FrontDialect, Desk {
+    const FrontLimits& limits() const override { return limits_; }
+    DrainTimes drain_times() const override { return {1ms, 1ms, 2ms, 1ms}; }
+    std::variant<loftfront::Request, TurnAway> read(Fields&, Time arrived) override {
+        loftfront::Request request;
+        request.id = "1";
+        request.deadline = arrived + 10s;
+        return request;
+    }
+    void write(const Answer&, http::response_header<>& head) override { head.result(200); }
+    bool take(loftfront::Request, std::shared_ptr<const Message>, Reply reply) override {
+        held = std::move(reply);
+        return true;
+    }
+    void received(const loftfront::RequestId&, Time) override {}
+    void leave(const loftfront::RequestId&) override {}
+
+    template <class Is>
+    void until(Is is) {
+        for (int i = 0; i < 4000 && !is(); ++i) {
+            loop.add(loop.now() + 1ms, [this] { loop.stop(); });
+            loop.resume();
+            loop.run();
+        }
+        REQUIRE(is());
+    }
+
+    Loop loop;
+    Counters counters;
+    FrontLimits limits_;
+    Reply held;
+};
+
+}  // namespace
+
+TEST_CASE("a drained front calls back once, when its last answer is out") {
+    Fixture fixture;
+    Http1Front front(
+        fixture.loop, fixture, fixture, 16, [] { return true; }, fixture.counters);
+    front.listen(*parse_address("127.0.0.1:0"));
+    asio::ip::tcp::socket idle(fixture.loop.io()), busy(fixture.loop.io());
+    idle.connect(front.listens_at());
+    busy.connect(front.listens_at());
+    asio::write(busy, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    fixture.until([&] { return static_cast<bool>(fixture.held); });
+    int ended = 0;
+    front.drain([&] { ++ended; }, false);
+    fixture.until([&] { return !front.listening(); });
+    CHECK(ended == 0);
+    fixture.held(Answer{Answer::Kind::Served, "x", "", {}});
+    // The client reads its last answer and closes, as does the idle one.
+    error_code error;
+    idle.close(error);
+    busy.close(error);
+    fixture.until([&] { return ended > 0; });
+    for (int i = 0; i < 20; ++i) fixture.until([] { return true; });
+    CHECK(ended == 1);
+}
+
+TEST_CASE("where only idle connections are left, the end is told once as well") {
+    Fixture fixture;
+    Http1Front front(
+        fixture.loop, fixture, fixture, 16, [] { return true; }, fixture.counters);
+    front.listen(*parse_address("127.0.0.1:0"));
+    asio::ip::tcp::socket idle(fixture.loop.io());
+    idle.connect(front.listens_at());
+    int ended = 0;
+    front.drain([&] { ++ended; }, false);
+    fixture.until([&] { return ended > 0; });
+    for (int i = 0; i < 20; ++i) fixture.until([] { return true; });
+    CHECK(ended == 1);
+}
