--- a/src/rolls/rolls.cpp
+++ b/src/rolls/rolls.cpp
@@ -5,6 +5,7 @@
 namespace martenford::rolls {
 
 namespace {
+constexpr std::size_t kMostText = 256;   // bytes of a name or an address
 constexpr std::size_t kMostGone = 1000;  // remembered removals
 constexpr Duration kStoodStill = 700ms;  // a registry not ticked for so long was not listening either
 }  // namespace
@@ -14,6 +15,11 @@
 }
 
 bool Registry::told(Time now, const Place& place) {
+    for (const std::string* text : {&place.node, &place.gate, &place.service, &place.zone, &place.instance}) {
+        if (text->size() <= kMostText) continue;
+        ++refused_;
+        return false;
+    }
     auto it = held_.find(place.node);
     if (it == held_.end()) {
         if (held_.size() >= options_.most) {
--- a/src/scales/scales.cpp
+++ b/src/scales/scales.cpp
@@ -12,7 +12,8 @@
 constexpr double kLeastWish = 0.02;  // of a quota: who has not asked yet gets this much of what is there
 constexpr double kHeadroom = 1.3;    // over what was asked for lately
 constexpr Duration kForgetTenant = 30s;
-constexpr std::size_t kFewestStalls = 8;  // one that has just started knows of few
+constexpr std::size_t kMostTenants = 20000, kMostName = 256;  // that demands are kept of
+constexpr std::size_t kFewestStalls = 8;                      // one that has just started knows of few
 }  // namespace
 
 void Grantor::heard(Time now, const std::string& stall, std::uint64_t taken,
@@ -22,6 +23,9 @@
         if (const auto it = shares.find(stall); it != shares.end()) it->second.wanted = 0;
     }
     for (const Demand& demand : demands) {
+        if (demand.tenant.size() > kMostName ||
+            (by_tenant_.size() >= kMostTenants && !by_tenant_.contains(demand.tenant)))
+            continue;
         Share& share = by_tenant_[demand.tenant][stall];
         share.wanted = demand.per_s * kHeadroom;
         share.heard = now;
--- a/src/stall/dialects.cpp
+++ b/src/stall/dialects.cpp
@@ -208,7 +208,12 @@
 }
 
 void HopFront::write(const Answer& answer, http::response_header<>& head) {
-    if (pass(answer, head)) return;
+    if (pass(answer, head)) {
+        // What an endpoint says is not taken for the gate's own word.
+        head.erase(kRefused);
+        head.erase(kFailed);
+        return;
+    }
     if (answer.kind == Answer::Kind::Refused) {
         head.result(http::status::service_unavailable);
         head.set(kRefused, std::to_string(std::max<std::int64_t>(1, millis(gate_.wait()))));
