A vote writes the state alone: the disk keeps values by stamp, documents are packed

Cause: the disk's one record held the newest and the committed word in full and was written whole at each vote, term and commit; the word held its document as text. Change: Strongbox keeps records by name, writes only those that changed, removes the rest, all in one transaction, and opens its file again after a failed write. The state carries sums of the two values that it names; values are records of their own. Documents are zstd; the history is told side by side with the version up to which it may lack something. The one record and the words of the program before are still read (a word as it wrote it stands in the test). Tests of the strongbox hold the same claims on records.

--- a/src/guildhall/guildhall.cpp
+++ b/src/guildhall/guildhall.cpp
@@ -344,7 +344,7 @@
         unsaved_ |= moot_.take_persist();
         if (!unsaved_) return;
         if (const Time now = loop_.now(); now >= save_again_) {
-            const auto saved = box_->save(passage::encode(moot_.disk()));
+            const auto saved = box_->save(passage::records_of(moot_.disk()));
             if (const auto* trouble = std::get_if<strongbox::Trouble>(&saved)) {
                 ring(Event::DiskTrouble, "not written", {{"what", trouble->what}});
                 save_again_ = loop_.now() + kSaveAgain;
@@ -411,15 +411,15 @@
 std::variant<moot::Disk, strongbox::Trouble> disk_of(const boot::Settings& settings,
                                                      strongbox::Strongbox& box) {
     const strongbox::Found found = box.load();
-    if (found.damaged) ring(Event::DiskDamaged, "the record is damaged");
-    if (!found.damaged && !found.record.empty()) {
-        if (auto disk = passage::decode_disk(found.record); disk && disk->self != 0) return *disk;
-        ring(Event::DiskDamaged, "the record can't be read");
+    if (found.damaged) ring(Event::DiskDamaged, "a record is damaged");
+    if (!found.damaged && !found.records.empty()) {
+        if (auto disk = passage::disk_of(found.records); disk && disk->self != 0) return *disk;
+        ring(Event::DiskDamaged, "the records don't belong together");
     }
     moot::Disk disk;
     disk.self = drawn();
     const std::string own = Guildhall::own_address(settings);
-    if (settings.first_boot && !found.damaged && found.record.empty()) {
+    if (settings.first_boot && !found.damaged && found.records.empty()) {
         // At the first start of all, all are told the same seeds: they are the first voters, known by their
         // addresses.
         for (const Address& seed : settings.seeds) {
@@ -433,7 +433,7 @@
     } else {
         ring(Event::FreshMember, "a new member without a vote");
     }
-    const auto saved = box.save(passage::encode(disk));
+    const auto saved = box.save(passage::records_of(disk));
     if (const auto* trouble = std::get_if<strongbox::Trouble>(&saved)) return *trouble;
     return disk;
 }
--- a/src/passage/messages.cpp
+++ b/src/passage/messages.cpp
@@ -3,9 +3,14 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 #include <kj/exception.h>
+#include <zstd.h>
 
 #include <algorithm>
 #include <cstring>
+#include <memory>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 #include "passage/wire.capnp.h"
 
@@ -252,27 +257,64 @@
     return message ? std::move(*message) : std::nullopt;
 }
 
+namespace {
+
+constexpr int kPackLevel =
+    3;  // zstd's own default: 3 ms for a megabyte; the next ones cost more than they save
+
+std::string packed(const std::string& from) {
+    std::string to(ZSTD_compressBound(from.size()), '\0');
+    const std::size_t size = ZSTD_compress(to.data(), to.size(), from.data(), from.size(), kPackLevel);
+    to.resize(ZSTD_isError(size) ? 0 : size);
+    return to;
+}
+std::optional<std::string> unpacked(capnp::Data::Reader from) {
+    const auto size = ZSTD_getFrameContentSize(from.begin(), from.size());
+    if (size > kMostDocument) return std::nullopt;  // and the library's two error codes, which are larger
+    std::string to(size, '\0');
+    if (ZSTD_decompress(to.data(), to.size(), from.begin(), from.size()) != size) return std::nullopt;
+    return to;
+}
+
+}  // namespace
+
 std::string encode(const Word& word) {
     capnp::MallocMessageBuilder builder;
     auto out = builder.initRoot<wire::Word>();
     out.setVersion(word.version);
-    out.setDocument(data(word.document));
-    auto history = out.initHistory(static_cast<unsigned>(word.history.size()));
-    for (unsigned i = 0; i < word.history.size(); ++i) {
-        history[i].setVersion(word.history[i].version);
-        history[i].setDigest(word.history[i].digest);
+    out.setPacked(data(packed(word.document)));
+    out.setForgotten(word.forgotten);
+    const auto size = static_cast<unsigned>(word.history.size());
+    auto versions = out.initVersions(size);
+    auto digests = out.initDigests(size);
+    for (unsigned i = 0; i < size; ++i) {
+        versions.set(i, word.history[i].version);
+        digests.set(i, word.history[i].digest);
     }
     return flat(builder);
 }
 
 std::optional<Word> decode_word(std::string_view from) {
     if (from.empty()) return Word{};
-    return parsed<wire::Word>(from, [](wire::Word::Reader in) {
-        Word word{in.getVersion(), bytes(in.getDocument()), {}};
-        for (const auto taken : in.getHistory())
-            word.history.push_back({taken.getVersion(), taken.getDigest()});
+    auto word = parsed<wire::Word>(from, [](wire::Word::Reader in) -> std::optional<Word> {
+        Word word{in.getVersion(), "", {}, in.getForgotten()};
+        if (!in.hasPacked()) {  // a program before wrote it
+            word.document = bytes(in.getDocument());
+            for (const auto taken : in.getHistory())
+                word.history.push_back({taken.getVersion(), taken.getDigest()});
+            // It kept the last 500 and did not say whether there were more.
+            if (!word.history.empty()) word.forgotten = word.history.front().version - 1;
+            return word;
+        }
+        auto document = unpacked(in.getPacked());
+        const auto versions = in.getVersions();
+        const auto digests = in.getDigests();
+        if (!document || versions.size() != digests.size()) return std::nullopt;
+        word.document = std::move(*document);
+        for (unsigned i = 0; i < versions.size(); ++i) word.history.push_back({versions[i], digests[i]});
         return word;
     });
+    return word ? std::move(*word) : std::nullopt;
 }
 
 std::string encode(const moot::Disk& disk) {
@@ -293,4 +335,54 @@
     });
 }
 
+namespace {
+
+constexpr char kState[] = "state";
+constexpr char kWhole[] = "word";  // all in one record, as programs before wrote it
+
+std::string name_of(const moot::Stamp& stamp) {
+    return "value." + std::to_string(stamp.term) + "." + std::to_string(stamp.index);
+}
+/// Ties the state to the values that it was written with: one that is not of the same write is seen.
+struct Sums {
+    std::uint64_t newest = 0, committed = 0;
+    bool operator==(const Sums&) const = default;
+};
+Sums sums_of(const std::string& newest, const std::string& committed) {
+    return {XXH3_64bits(newest.data(), newest.size()), XXH3_64bits(committed.data(), committed.size())};
+}
+
+}  // namespace
+
+std::map<std::string, std::string> records_of(const moot::Disk& disk) {
+    const Sums sums = sums_of(disk.newest.value, disk.committed.value);
+    moot::Disk bare = disk;
+    bare.newest.value.clear();
+    bare.committed.value.clear();
+    return {{kState, std::string(reinterpret_cast<const char*>(&sums), sizeof sums) + encode(bare)},
+            {name_of(disk.newest.stamp), disk.newest.value},
+            {name_of(disk.committed.stamp), disk.committed.value}};
+}
+
+std::optional<moot::Disk> disk_of(const std::map<std::string, std::string>& records) {
+    const auto state = records.find(kState);
+    if (state == records.end()) {
+        const auto whole = records.find(kWhole);
+        return whole == records.end() ? std::nullopt : decode_disk(whole->second);
+    }
+    Sums sums;
+    if (state->second.size() < sizeof sums) return std::nullopt;
+    std::memcpy(&sums, state->second.data(), sizeof sums);
+    auto disk = decode_disk(std::string_view(state->second).substr(sizeof sums));
+    if (!disk) return std::nullopt;
+    const auto newest = records.find(name_of(disk->newest.stamp));
+    const auto committed = records.find(name_of(disk->committed.stamp));
+    if (newest == records.end() || committed == records.end() ||
+        sums_of(newest->second, committed->second) != sums)
+        return std::nullopt;
+    disk->newest.value = newest->second;
+    disk->committed.value = committed->second;
+    return disk;
+}
+
 }  // namespace martenford::passage
--- a/src/passage/messages.h
+++ b/src/passage/messages.h
@@ -1,6 +1,7 @@
 // What the mesh's processes say to each other, as values, and as Cap'n Proto messages.
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -52,15 +53,19 @@
 struct Word {
     struct Taken {
         std::uint32_t version = 0;
-        std::uint64_t digest = 0;  ///< of the call's body
+        std::uint64_t digest = 0;  ///< of the call's kind and body
     };
     std::uint32_t version = 0;
     std::string document;
-    std::vector<Taken> history;  ///< the last that were taken, oldest first
+    std::vector<Taken> history;   ///< the last that were taken, oldest first
+    std::uint32_t forgotten = 0;  ///< of versions up to this one the history may lack some that were taken
 };
 
 /// The longest message: a configuration of some thousand routes.
 constexpr std::size_t kMostMessage = 16 * 1024 * 1024;
+/// The longest document: half of a message, which carries at most one and with it places, members and
+/// history.
+constexpr std::size_t kMostDocument = kMostMessage / 2;
 
 std::string encode(const Message& message);
 /// Nothing where the bytes are none of these.
@@ -70,4 +75,10 @@
 std::string encode(const moot::Disk& disk);
 std::optional<moot::Disk> decode_disk(std::string_view bytes);
 
+/// A disk as records by name: one for the state, some hundred bytes, and one for each entry's value, which is
+/// named by the entry's stamp and never changes. So a vote or a commit writes the state alone.
+std::map<std::string, std::string> records_of(const moot::Disk& disk);
+/// Nothing where they don't belong together. The one record of programs before is read too.
+std::optional<moot::Disk> disk_of(const std::map<std::string, std::string>& records);
+
 }  // namespace martenford::passage
--- a/src/passage/wire.capnp
+++ b/src/passage/wire.capnp
@@ -27,7 +27,13 @@
 }
 # On disk: what the register holds.
 struct Taken { version @0 :UInt32; digest @1 :UInt64; }
-struct Word { version @0 :UInt32; document @1 :Data; history @2 :List(Taken); }
+struct Word {
+  version @0 :UInt32;
+  document @1 :Data; history @2 :List(Taken);  # of programs before; in place of them now:
+  packed @3 :Data;                             # the document, zstd
+  versions @4 :List(UInt32); digests @5 :List(UInt64);  # the history, side by side
+  forgotten @6 :UInt32;
+}
 struct Disk { self @0 :UInt64; term @1 :UInt64; votedFor @2 :UInt64; newest @3 :Entry; committed @4 :Entry; }
 
 struct Envelope {
--- a/src/strongbox/strongbox.cpp
+++ b/src/strongbox/strongbox.cpp
@@ -6,6 +6,9 @@
 
 #include <cerrno>
 #include <cstring>
+#include <optional>
+#include <string_view>
+#include <utility>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -14,8 +17,6 @@
 
 namespace {
 
-constexpr char kKey[] = "word";
-
 Trouble trouble(int code) {
     return {mdb_strerror(code), code == ENOSPC || code == MDB_MAP_FULL || code == EDQUOT};
 }
@@ -33,16 +34,15 @@
 struct Strongbox::Impl {
     MDB_env* env = nullptr;
     MDB_dbi dbi = 0;
+    static std::variant<std::unique_ptr<Impl>, Trouble> open_in(const std::string& directory,
+                                                                std::size_t most);
     ~Impl() {
         if (env) mdb_env_close(env);
     }
 };
 
-Strongbox::Strongbox(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
-Strongbox::~Strongbox() = default;
-
-std::variant<std::unique_ptr<Strongbox>, Trouble> Strongbox::open(const std::string& directory,
-                                                                  std::size_t most) {
+std::variant<std::unique_ptr<Strongbox::Impl>, Trouble> Strongbox::Impl::open_in(const std::string& directory,
+                                                                                 std::size_t most) {
     auto impl = std::make_unique<Impl>();
     if (const int code = mdb_env_create(&impl->env)) return trouble(code);
     if (const int code = mdb_env_set_mapsize(impl->env, most)) return trouble(code);
@@ -58,46 +58,111 @@
     }
     if (const int code = mdb_txn_commit(txn)) return trouble(code);
     sync_folder(directory);
-    return std::unique_ptr<Strongbox>(new Strongbox(std::move(impl)));
+    return impl;
+}
+
+namespace {
+
+MDB_val value_of(const std::string& text) {
+    return {text.size(), const_cast<char*>(text.data())};
+}
+std::string_view text_of(const MDB_val& value) {
+    return {static_cast<const char*>(value.mv_data), value.mv_size};
+}
+
+/// A record on disk: its checksum, then its bytes.
+std::optional<std::string_view> checked(const MDB_val& value) {
+    std::uint64_t sum = 0;
+    if (value.mv_size < sizeof sum) return std::nullopt;
+    std::memcpy(&sum, value.mv_data, sizeof sum);
+    const auto record = text_of(value).substr(sizeof sum);
+    if (XXH3_64bits(record.data(), record.size()) != sum) return std::nullopt;
+    return record;
+}
+
+int put(MDB_txn* txn, MDB_dbi dbi, const std::string& name, const std::string& record) {
+    MDB_val key = value_of(name), held{};
+    // Compared with the bytes themselves: what is the same costs no write.
+    if (mdb_get(txn, dbi, &key, &held) == 0 && checked(held) == std::string_view(record)) return 0;
+    const std::uint64_t sum = XXH3_64bits(record.data(), record.size());
+    MDB_val value{sizeof sum + record.size(), nullptr};
+    if (const int code = mdb_put(txn, dbi, &key, &value, MDB_RESERVE)) return code;
+    std::memcpy(value.mv_data, &sum, sizeof sum);
+    std::memcpy(static_cast<char*>(value.mv_data) + sizeof sum, record.data(), record.size());
+    return 0;
+}
+
+/// Calls `each` with every record until it returns another code than 0.
+template <class Each>
+int walk(MDB_txn* txn, MDB_dbi dbi, Each each) {
+    MDB_cursor* cursor = nullptr;
+    if (const int code = mdb_cursor_open(txn, dbi, &cursor)) return code;
+    MDB_val key{}, value{};
+    int code = mdb_cursor_get(cursor, &key, &value, MDB_FIRST);
+    for (; code == 0; code = mdb_cursor_get(cursor, &key, &value, MDB_NEXT)) {
+        if ((code = each(cursor, std::string(text_of(key)), value))) break;
+    }
+    mdb_cursor_close(cursor);
+    return code == MDB_NOTFOUND ? 0 : code;
+}
+
+int write_all(MDB_env* env, MDB_dbi dbi, const Records& records) {
+    MDB_txn* txn = nullptr;
+    if (const int code = mdb_txn_begin(env, nullptr, 0, &txn)) return code;
+    int code = walk(txn, dbi, [&](MDB_cursor* cursor, const std::string& name, const MDB_val&) {
+        return records.contains(name) ? 0 : mdb_cursor_del(cursor, 0);
+    });
+    for (auto record = records.begin(); code == 0 && record != records.end(); ++record)
+        code = put(txn, dbi, record->first, record->second);
+    if (code) {
+        mdb_txn_abort(txn);
+        return code;
+    }
+    return mdb_txn_commit(txn);
+}
+
+}  // namespace
+
+Strongbox::Strongbox(std::string directory, std::size_t most, std::unique_ptr<Impl> impl)
+    : directory_(std::move(directory)), most_(most), impl_(std::move(impl)) {}
+Strongbox::~Strongbox() = default;
+
+std::variant<std::unique_ptr<Strongbox>, Trouble> Strongbox::open(const std::string& directory,
+                                                                  std::size_t most) {
+    auto opened = Impl::open_in(directory, most);
+    if (auto* failed = std::get_if<Trouble>(&opened)) return std::move(*failed);
+    return std::unique_ptr<Strongbox>(
+        new Strongbox(directory, most, std::get<std::unique_ptr<Impl>>(std::move(opened))));
 }
 
 Found Strongbox::load() {
     MDB_txn* txn = nullptr;
-    if (mdb_txn_begin(impl_->env, nullptr, MDB_RDONLY, &txn)) return {{}, true};
-    MDB_val key{sizeof kKey - 1, const_cast<char*>(kKey)}, value{};
-    const int code = mdb_get(txn, impl_->dbi, &key, &value);
+    if (!impl_ || mdb_txn_begin(impl_->env, nullptr, MDB_RDONLY, &txn)) return {{}, true};
     Found found;
-    if (code == MDB_NOTFOUND) {
-        found = {};
-    } else if (code != 0 || value.mv_size < sizeof(std::uint64_t)) {
-        found.damaged = true;
-    } else {
-        std::uint64_t sum = 0;
-        std::memcpy(&sum, value.mv_data, sizeof sum);
-        const char* record = static_cast<const char*>(value.mv_data) + sizeof sum;
-        const std::size_t size = value.mv_size - sizeof sum;
-        if (XXH3_64bits(record, size) == sum) {
-            found.record.assign(record, size);
-        } else {
-            found.damaged = true;
-        }
-    }
+    const int code = walk(txn, impl_->dbi, [&](MDB_cursor*, const std::string& name, const MDB_val& value) {
+        const auto record = checked(value);
+        if (!record) return MDB_CORRUPTED;
+        found.records[name] = *record;
+        return 0;
+    });
     mdb_txn_abort(txn);
+    if (code) return {{}, true};
     return found;
 }
 
-std::variant<std::monostate, Trouble> Strongbox::save(const std::string& record) {
-    MDB_txn* txn = nullptr;
-    if (const int code = mdb_txn_begin(impl_->env, nullptr, 0, &txn)) return trouble(code);
-    const std::uint64_t sum = XXH3_64bits(record.data(), record.size());
-    MDB_val key{sizeof kKey - 1, const_cast<char*>(kKey)}, value{sizeof sum + record.size(), nullptr};
-    if (const int code = mdb_put(txn, impl_->dbi, &key, &value, MDB_RESERVE)) {
-        mdb_txn_abort(txn);
+std::variant<std::monostate, Trouble> Strongbox::save(const Records& records) {
+    if (!impl_) {
+        auto opened = Impl::open_in(directory_, most_);
+        if (auto* failed = std::get_if<Trouble>(&opened)) return std::move(*failed);
+        impl_ = std::get<std::unique_ptr<Impl>>(std::move(opened));
+    }
+    const int code = write_all(impl_->env, impl_->dbi, records);
+    // After a failed write of the page that makes a change count, LMDB refuses all that follows for as long
+    // as it is open.
+    if (code != 0) {
+        impl_.reset();
         return trouble(code);
     }
-    std::memcpy(value.mv_data, &sum, sizeof sum);
-    std::memcpy(static_cast<char*>(value.mv_data) + sizeof sum, record.data(), record.size());
-    if (const int code = mdb_txn_commit(txn)) return trouble(code);
     return std::monostate{};
 }
 
--- a/src/strongbox/strongbox.h
+++ b/src/strongbox/strongbox.h
@@ -1,8 +1,10 @@
-// What must outlive a loss of power, in LMDB: one record with its checksum. It blocks: a save takes as long
-// as the disk takes to sync, and the loop waits for it (docs/mesh.md, "Disk").
+// What must outlive a loss of power, in LMDB: a few records by name, each with its checksum, changed
+// together. It blocks: a save takes as long as the disk takes to sync, and the loop waits for it
+// (docs/mesh.md, "Disk").
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
@@ -15,10 +17,12 @@
     bool full = false;
 };
 
+using Records = std::map<std::string, std::string>;
+
 /// What was found at a start.
 struct Found {
-    std::string record;    ///< empty: none yet
-    bool damaged = false;  ///< there is one, and it can't be read: as good as lost
+    Records records;       ///< none: nothing was saved yet, or it is damaged
+    bool damaged = false;  ///< there are some, and one can't be read: as good as lost
 };
 
 class Strongbox {
@@ -31,13 +35,16 @@
     Strongbox& operator=(const Strongbox&) = delete;
 
     Found load();
-    /// On disk, in whole, once this returns nothing; else the record before it still stands.
-    std::variant<std::monostate, Trouble> save(const std::string& record);
+    /// Makes `records` all that there is: writes those that are new or other than before, removes the rest.
+    /// On disk, in whole, once this returns nothing; else what was there before still stands.
+    std::variant<std::monostate, Trouble> save(const Records& records);
 
   private:
     struct Impl;
-    explicit Strongbox(std::unique_ptr<Impl> impl);
-    std::unique_ptr<Impl> impl_;
+    Strongbox(std::string directory, std::size_t most, std::unique_ptr<Impl> impl);
+    std::string directory_;
+    std::size_t most_;
+    std::unique_ptr<Impl> impl_;  // nothing: it broke, and is opened again with the next save
 };
 
 }  // namespace martenford::strongbox
--- a/tests/mesh/store_test.cpp
+++ b/tests/mesh/store_test.cpp
@@ -30,8 +30,8 @@
     return std::get<std::unique_ptr<strongbox::Strongbox>>(std::move(opened));
 }
 
-bool saved(strongbox::Strongbox& box, const std::string& record) {
-    return std::holds_alternative<std::monostate>(box.save(record));
+bool saved(strongbox::Strongbox& box, const strongbox::Records& records) {
+    return std::holds_alternative<std::monostate>(box.save(records));
 }
 
 }  // namespace
@@ -40,20 +40,20 @@
     Folder folder;
     {
         auto box = open(folder.at, 256 * 1024);
-        CHECK(box->load().record.empty());
-        CHECK(saved(*box, "one"));
-        const auto full = box->save(std::string(400 * 1024, 'x'));
+        CHECK(box->load().records.empty());
+        CHECK(saved(*box, {{"a", "one"}, {"gone", "x"}}));
+        const auto full = box->save({{"a", "other"}, {"b", std::string(400 * 1024, 'x')}});
         REQUIRE(std::holds_alternative<strongbox::Trouble>(full));
         CHECK(std::get<strongbox::Trouble>(full).full);
-        CHECK(saved(*box, "two"));
+        CHECK(saved(*box, {{"a", "one"}, {"b", "two"}}));
     }
-    CHECK(open(folder.at)->load().record == "two");
+    CHECK(open(folder.at)->load().records == strongbox::Records{{"a", "one"}, {"b", "two"}});
 }
 
 TEST_CASE("strongbox: a record whose bytes changed is told as damaged, not read") {
     Folder folder;
     const std::string word(5000, 'w');
-    { CHECK(saved(*open(folder.at), word)); }
+    { CHECK(saved(*open(folder.at), {{"a", "whole"}, {"b", word}})); }
     std::fstream file(folder.at + "/word.mdb", std::ios::in | std::ios::out | std::ios::binary);
     std::string bytes((std::istreambuf_iterator<char>(file)), {});
     const auto at = bytes.find(std::string(100, 'w'));
@@ -64,16 +64,17 @@
     file.close();
     const auto found = open(folder.at)->load();
     CHECK(found.damaged);
-    CHECK(found.record.empty());
+    CHECK(found.records.empty());
 }
 
 TEST_CASE("strongbox: cut at any later write, the last record that was saved is there") {
     // The file as it was after the first save, and as it is after the second: pages of the second are missing
     // or torn.
     Folder first, second;
-    { CHECK(saved(*open(first.at), std::string(9000, 'a'))); }
+    const strongbox::Records as{{"r", std::string(9000, 'a')}}, bs{{"r", std::string(9000, 'b')}};
+    { CHECK(saved(*open(first.at), as)); }
     std::filesystem::copy(first.at + "/word.mdb", second.at + "/word.mdb");
-    { CHECK(saved(*open(second.at), std::string(9000, 'b'))); }
+    { CHECK(saved(*open(second.at), bs)); }
     const auto read = [](const std::string& path) {
         std::ifstream file(path, std::ios::binary);
         return std::string((std::istreambuf_iterator<char>(file)), {});
@@ -95,8 +96,8 @@
             std::ofstream(folder.at + "/word.mdb", std::ios::binary) << mixed;
             const auto found = open(folder.at)->load();
             CHECK_FALSE(found.damaged);
-            kept_first += found.record == std::string(9000, 'a');
-            kept_second += found.record == std::string(9000, 'b');
+            kept_first += found.records == as;
+            kept_second += found.records == bs;
         }
     }
     CHECK(kept_first > 0);
@@ -130,6 +131,67 @@
     CHECK(kept->committed.stamp == moot::Stamp{7, 8});
 }
 
+TEST_CASE("the disk's records: read as they were written; what doesn't belong together is nothing") {
+    moot::Disk disk{5, 6, 7, {{8, 9}, {{1, "x"}}, std::string(60'000, 'n')}, {{7, 8}, {}, "older"}};
+    const auto records = passage::records_of(disk);
+    const auto kept = passage::disk_of(records);
+    REQUIRE(kept);
+    CHECK(kept->newest.value == disk.newest.value);
+    CHECK(kept->newest.voters == disk.newest.voters);
+    CHECK(kept->committed.value == "older");
+    CHECK(kept->voted_for == 7);
+    // A vote changes the state alone, and that is small.
+    disk.voted_for = 8;
+    for (const auto& [name, record] : passage::records_of(disk)) {
+        CHECK((record == records.at(name)) == (name != "state"));
+        if (name == "state") CHECK(record.size() < 300);
+    }
+    for (const auto& [name, record] : records) {
+        auto others = records;
+        others.erase(name);
+        CHECK_FALSE(passage::disk_of(others));
+        if (name == "state") continue;
+        others[name] = record + "x";  // whole in itself, of another write
+        CHECK_FALSE(passage::disk_of(others));
+    }
+    // What a program before left, all in one.
+    const auto before = passage::disk_of({{"word", passage::encode(disk)}});
+    REQUIRE(before);
+    CHECK(before->newest.value == disk.newest.value);
+    CHECK_FALSE(passage::disk_of({}));
+}
+
+TEST_CASE(
+    "the word: read as it was written, packed; a word of a program before is read, one too large is not") {
+    passage::Word word{7, std::string(200'000, 'd'), {{3, 33}, {7, 77}}, 2};
+    const std::string bytes = passage::encode(word);
+    CHECK(bytes.size() < 1000);
+    const auto read = passage::decode_word(bytes);
+    REQUIRE(read);
+    CHECK(read->version == 7);
+    CHECK(read->document == word.document);
+    CHECK(read->history.back().digest == 77);
+    CHECK(read->forgotten == 2);
+    for (std::size_t cut = 8; cut < bytes.size(); cut += 8)
+        CHECK_FALSE(passage::decode_word(bytes.substr(0, cut)));
+    word.document.assign(passage::kMostDocument + 1, 'd');
+    CHECK_FALSE(passage::decode_word(passage::encode(word)));
+    // Version 9, the document "{}", versions 5 and 9 taken: as the program of 1 December 2026 wrote it.
+    const unsigned char before[] = {
+        0x00, 0x00, 0x00, 0x00, 0x0a, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x01, 0x00, 0x02,
+        0x00, 0x09, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x05, 0x00, 0x00, 0x00, 0x12, 0x00,
+        0x00, 0x00, 0x05, 0x00, 0x00, 0x00, 0x27, 0x00, 0x00, 0x00, 0x7b, 0x7d, 0x00, 0x00, 0x00,
+        0x00, 0x00, 0x00, 0x08, 0x00, 0x00, 0x00, 0x02, 0x00, 0x00, 0x00, 0x05, 0x00, 0x00, 0x00,
+        0x00, 0x00, 0x00, 0x00, 0x37, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x09, 0x00, 0x00,
+        0x00, 0x00, 0x00, 0x00, 0x00, 0x63, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00};
+    const auto old = passage::decode_word({reinterpret_cast<const char*>(before), sizeof before});
+    REQUIRE(old);
+    CHECK(old->version == 9);
+    CHECK(old->document == "{}");
+    CHECK(old->history.front().digest == 55);
+    CHECK(old->forgotten == 4);
+}
+
 TEST_CASE("routes: the longest prefix, by host, and splits that stay with an id") {
     const auto json = charter::Json::parse(
         R"({"version":"1","base_version":"0","listeners":[{"host":"H.example","rule_set":[
