Orders are known by their bytes before they are read, decided once, and bounded

Cause: the history ended at 500 versions, after which a call that was taken was refused; a call that could not be proposed was read again at each turn; a core of one confirmed before its disk had it; a body nested a million deep ended the leader, and each next one when it was resent; a body near 16 MB made an entry that no message could carry; an unreadable value would have been passed over in favour of an older one. Change: digests first; one look at each call in its order of arrival; 4,096 changes are known, and what is older is "too long ago to tell" (503), never 412 or 400; undecided calls are told so after 0.9 s, before the caller's second of silence; 8 MB a body, 32 MB of waiting bodies; 64 levels of JSON; a confirmation counts in its own term only; a new leader keeps calls until its own entry is committed.

--- a/src/charter/charter.cpp
+++ b/src/charter/charter.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::int64_t kLongestTimeoutMs = 10 * 60 * 1000;
 constexpr std::int64_t kMostAttempts = 1000;
+constexpr int kDeepest = 64;  // a route's split lies seven deep
 
 std::string lower(std::string_view text) {
     std::string out(text);
@@ -82,6 +83,23 @@
     return version;
 }
 
+std::optional<Json> parse_object(std::string_view text) {
+    int depth = 0;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        const char c = text[at];
+        if (c == '"') {
+            for (++at; at < text.size() && text[at] != '"'; ++at) at += text[at] == '\\';
+        } else if (c == '{' || c == '[') {
+            if (++depth > kDeepest) return std::nullopt;
+        } else if (c == '}' || c == ']') {
+            --depth;
+        }
+    }
+    Json read = Json::parse(text, nullptr, false);
+    if (!read.is_object()) return std::nullopt;
+    return read;
+}
+
 std::variant<Config, Problem> read_config(const Json& document) {
     Config config;
     if (auto problem = read(document, config, "")) return *problem;
--- a/src/charter/charter.h
+++ b/src/charter/charter.h
@@ -95,6 +95,10 @@
 };
 BOOST_DESCRIBE_STRUCT(Config, (), (version, base_version, limits, tenants, listeners, clusters))
 
+/// The JSON object that a text is; nothing where it is none, or is nested deeper than any configuration: what
+/// copies and writes JSON calls itself for each level.
+std::optional<Json> parse_object(std::string_view text);
+
 /// Reads a whole configuration and checks all that can be said without knowing the one in place: names,
 /// bounds, that routes go to services there are. A configuration of any size is read once; work grows with it
 /// linearly.
--- a/src/guildhall/clerk.cpp
+++ b/src/guildhall/clerk.cpp
@@ -1,61 +1,71 @@
 #include "guildhall/clerk.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace martenford::guildhall {
 
 using charter::Json;
 
 namespace {
-constexpr Duration kLongest = 4s;          // a call that is undecided for so long gets no clear answer
-constexpr std::size_t kMostJobs = 64;      // calls that wait
-constexpr std::size_t kMostHistory = 500;  // versions that a resent call is known by
+// A call that is undecided for so long is told that nothing was done: callers go on after a second of
+// silence.
+constexpr Duration kUndecided = 900ms;
+// One that was proposed is held longer, as long as it may yet be committed: no answer would be clearer, and
+// the caller of a large body waits for more than that second.
+constexpr Duration kLongest = 4s;
+constexpr std::size_t kMostJobs = 64;                      // calls that wait
+constexpr std::size_t kMostHeld = 32 * 1024 * 1024;        // bytes of their bodies
+constexpr std::size_t kMostHistory = 4096;                 // two days at 2,200 changes a day; 12 bytes each
+constexpr std::size_t kMostBody = passage::kMostDocument;  // a longer one could not be sent to the others
 constexpr Duration kComeBack = 300ms;
 
 calls::Response refusal(unsigned status, const std::string& why) {
     return {status, Json{{"error", why}}.dump()};
 }
+calls::Response unclear(const std::string& why) {
+    return {503, Json{{"error", why}}.dump(), "", kComeBack};
+}
 }  // namespace
 
 const passage::Word& Clerk::word() {
     const moot::Entry& committed = moot_.disk().committed;
     if (committed.stamp != word_stamp_) {
         // A new term's entry most often has the value that was there.
-        if (auto read = passage::decode_word(committed.value)) word_ = std::move(*read);
+        auto read = passage::decode_word(committed.value);
+        readable_ = read.has_value();
+        if (read) word_ = std::move(*read);
         word_stamp_ = committed.stamp;
     }
     return word_;
 }
 
-calls::Response Clerk::elsewhere(Time now) const {
+calls::Response Clerk::elsewhere(Time now, Call call) const {
     const auto leader = moot_.leader();
     if (leader && moot_.role() != moot::Moot::Role::Leader && moot_.in_touch(now, 1s) && control_of) {
-        return {307, "", control_of(*leader)};
-    }
-    return {503, R"({"error":"no leader is known"})", "", kComeBack};
-}
-
-void Clerk::change(Time now, const std::string& body, bool whole, calls::Respond respond) {
-    if (!moot_.leads(now)) {
-        auto answer = elsewhere(now);
-        if (answer.status == 307)
-            answer.location += whole ? "/v1/configuration/replace" : "/v1/configuration/modify";
-        return respond(std::move(answer));
+        return {307, "",
+                control_of(*leader) + (call == Call::Read      ? "/v1/configuration/read"
+                                       : call == Call::Replace ? "/v1/configuration/replace"
+                                                               : "/v1/configuration/modify")};
     }
-    if (jobs_.size() >= kMostJobs) return respond({503, R"({"error":"too many calls wait"})", "", kComeBack});
-    jobs_.push_back({body, whole, false, std::move(respond), now + kLongest, {}, {}, {}, 0});
-    settle(now);
+    return unclear("no leader is known");
 }
 
-void Clerk::read(Time now, calls::Respond respond) {
-    if (!moot_.leads(now)) {
-        auto answer = elsewhere(now);
-        if (answer.status == 307) answer.location += "/v1/configuration/read";
-        return respond(std::move(answer));
-    }
-    if (jobs_.size() >= kMostJobs) return respond({503, R"({"error":"too many calls wait"})", "", kComeBack});
-    jobs_.push_back({"", false, true, std::move(respond), now + kLongest, {}, {}, {}, 0});
-    settle(now);
+void Clerk::take(Time now, Call call, const std::string& body, calls::Respond respond) {
+    if (moot_.role() != moot::Moot::Role::Leader) return respond(elsewhere(now, call));
+    if (body.size() > kMostBody) return respond(refusal(413, "the body is too long"));
+    if (jobs_.size() >= kMostJobs || held_ + body.size() > kMostHeld)
+        return respond(unclear("too many calls wait"));
+    Job job;
+    job.call = call;
+    job.body = body;
+    job.digest = charter::digest(body, call == Call::Replace ? 1 : 2);
+    job.respond = std::move(respond);
+    job.came = now;
+    held_ += body.size();
+    jobs_.push_back(std::move(job));
+    pass(now, false);
 }
 
 void Clerk::answer_when_confirmed(Time now, Job& job, calls::Response answer) {
@@ -63,103 +73,132 @@
     job.confirmation = moot_.ask_confirmation(now);
 }
 
-/// What depends on which version is current is answered only once a majority has said that we still lead.
+void Clerk::refuse(Time now, Job& job, unsigned status, const std::string& why, const std::string& logged) {
+    if (on_decided) on_decided(false, job.version, logged.empty() ? why : logged);
+    answer_when_confirmed(now, job, refusal(status, why));
+}
+
+/// Here, on a leader that has all that was committed. What depends on which version is current is answered
+/// only once a majority has said that it still leads.
 void Clerk::decide(Time now, Job& job) {
     const passage::Word& held = word();
-    if (job.reads) {
+    job.term = moot_.disk().term;
+    if (!readable_) return answer_when_confirmed(now, job, unclear("what is in place can't be read"));
+    if (job.call == Call::Read) {
         if (held.version == 0)
             return answer_when_confirmed(now, job, refusal(404, "no configuration has been taken yet"));
         return answer_when_confirmed(now, job, {200, held.document});
     }
-    const auto done = [&](calls::Response answer, const std::string& why) {
-        if (on_decided) on_decided(false, job.version, why);
-        answer_when_confirmed(now, job, std::move(answer));
-    };
-    const Json change = Json::parse(job.body, nullptr, false);
-    if (change.is_discarded() || !change.is_object())
-        return done(refusal(400, "the body is no JSON object"), "no JSON");
+    // Before it is read at all: a call that was taken stays taken, whatever is thought of it now.
+    if (std::any_of(held.history.begin(), held.history.end(),
+                    [&](const auto& taken) { return taken.digest == job.digest; })) {
+        job.holds = word_stamp_;
+        job.repeated = true;
+        return;
+    }
+    // What is proposed may be this very call, sent before; and one at a time is decided.
+    if (!is_settled()) return;
+    if (job.next && job.next->first == word_stamp_) return propose(now, job);
+    const auto read = charter::parse_object(job.body);
+    if (!read) return refuse(now, job, 400, "the body is no JSON object", "no JSON");
+    const Json& change = *read;
     const auto text = [&](const char* field) {
         const auto it = change.find(field);
         return it != change.end() && it->is_string() ? charter::parse_version(it->get<std::string>())
                                                      : std::nullopt;
     };
     const auto version = text("version");
-    if (!version) return done(refusal(400, "version: eight hexadecimal digits are wanted"), "version");
+    if (!version) return refuse(now, job, 400, "version: eight hexadecimal digits are wanted", "version");
     job.version = *version;
-    const std::uint64_t digest = charter::digest(job.body, job.whole ? 1 : 2);
-    for (const auto& taken : held.history) {
-        if (taken.version == *version && taken.digest == digest)
-            return answer_when_confirmed(now, job, {200, "{}"});
-    }
+    if (*version <= held.forgotten)
+        return answer_when_confirmed(now, job, unclear("too long ago to tell whether it was taken"));
     std::uint32_t base = 0;
     if (change.contains("base_version")) {
         const auto named = text("base_version");
         if (named) {
             base = *named;
         } else if (change["base_version"] != 0) {
-            return done(refusal(400, "base_version: eight hexadecimal digits are wanted"), "base_version");
+            return refuse(now, job, 400, "base_version: eight hexadecimal digits are wanted", "base_version");
         }
     }
-    if (base != held.version) {
-        return done(refusal(412, "version " + charter::text_of(held.version) + " is in place"),
-                    "another version is in place");
-    }
-    if (*version <= held.version) {
-        return done(refusal(400, "version is not above " + charter::text_of(held.version)),
-                    "its version is not above");
-    }
+    if (base != held.version)
+        return refuse(now, job, 412, "version " + charter::text_of(held.version) + " is in place",
+                      "another version is in place");
+    if (*version <= held.version)
+        return refuse(now, job, 400, "version is not above " + charter::text_of(held.version),
+                      "its version is not above");
     std::variant<Json, charter::Problem> whole = change;
-    if (!job.whole) {
+    if (job.call == Call::Modify) {
         const Json document =
             held.document.empty() ? Json::object() : Json::parse(held.document, nullptr, false);
         whole = charter::modified(document, change);
     }
     if (const auto* problem = std::get_if<charter::Problem>(&whole))
-        return done(refusal(400, problem->text()), problem->text());
+        return refuse(now, job, 400, problem->text());
     const Json& document = std::get<Json>(whole);
     const auto config = charter::read_config(document);
     if (const auto* problem = std::get_if<charter::Problem>(&config))
-        return done(refusal(400, problem->text()), problem->text());
-    passage::Word next{*version, document.dump(), held.history};
-    next.history.push_back({*version, digest});
-    if (next.history.size() > kMostHistory) next.history.erase(next.history.begin());
-    job.proposed = moot_.propose(now, passage::encode(next));
+        return refuse(now, job, 400, problem->text());
+    passage::Word next{*version, document.dump(), held.history, held.forgotten};
+    if (next.document.size() > passage::kMostDocument)
+        return refuse(now, job, 413, "the configuration is too long");
+    next.history.push_back({*version, job.digest});
+    if (const auto size = next.history.size(); size > kMostHistory) {
+        const auto kept = next.history.begin() + static_cast<std::ptrdiff_t>(size - kMostHistory);
+        next.forgotten = std::prev(kept)->version;
+        next.history.erase(next.history.begin(), kept);
+    }
+    job.next = {word_stamp_, passage::encode(next)};
+    propose(now, job);
 }
 
-void Clerk::settle(Time now) {
-    while (!jobs_.empty()) {
-        Job& job = jobs_.front();
-        std::optional<calls::Response> answer;
-        if (job.proposed) {
-            // Committed in the term in which it was proposed, or never by us: then nothing clear can be said.
-            if (!moot_.still_possible(*job.proposed)) {
-                answer = calls::Response{503, R"({"error":"the lead was lost; it may be in force or not"})",
-                                         "", kComeBack};
-            } else if (moot_.is_committed(*job.proposed)) {
-                if (on_decided) on_decided(true, job.version, "");
-                answer = calls::Response{200, "{}"};
-            }
-        } else if (job.confirmation) {
-            if (moot_.is_confirmed(*job.confirmation)) answer = std::move(job.answer);
-        }
-        if (!answer && !job.proposed && !moot_.leads(now)) {
-            answer = elsewhere(now);
-            if (answer->status == 307)
-                answer->location += job.reads   ? "/v1/configuration/read"
-                                    : job.whole ? "/v1/configuration/replace"
-                                                : "/v1/configuration/modify";
+void Clerk::propose(Time now, Job& job) {
+    job.holds = moot_.propose(now, job.next->second);
+    if (!job.holds) return;  // not now: the value is kept, so that nothing is read twice
+    job.next.reset();
+    held_ -= std::exchange(job.body, {}).size();
+}
+
+std::optional<calls::Response> Clerk::look_at(Time now, Job& job, bool persisted) {
+    if (!job.holds && !job.confirmation) {
+        if (moot_.role() != moot::Moot::Role::Leader) return elsewhere(now, job.call);
+        if (moot_.leads(now)) decide(now, job);
+        // What was put into the register just now is on no disk yet, not even here.
+        if (job.holds) persisted = false;
+    }
+    if (job.holds) {
+        // Committed in the term in which it was proposed, or never by us: then nothing clear can be said.
+        if (!moot_.still_possible(*job.holds)) return unclear("the lead was lost; it may be in force or not");
+        if (persisted && moot_.is_committed(*job.holds)) {
+            if (on_decided && !job.repeated) on_decided(true, job.version, "");
+            return calls::Response{200, "{}"};
         }
-        if (!answer && now >= job.until)
-            answer = calls::Response{503, R"({"error":"undecided"})", "", kComeBack};
-        if (!answer && !job.proposed && !job.confirmation) {
-            decide(now, job);
-            if (job.proposed || job.confirmation) continue;
+        if (now - job.came >= kLongest) return unclear("undecided; it may be in force or not");
+        return std::nullopt;
+    }
+    if (job.confirmation) {
+        // A confirmation of another term says nothing about what was current in this one.
+        if (!moot_.still_possible({job.term, 0})) return elsewhere(now, job.call);
+        if (moot_.is_confirmed(*job.confirmation)) return std::move(job.answer);
+    }
+    if (now - job.came >= kUndecided) return unclear("undecided; nothing was done");
+    return std::nullopt;
+}
+
+void Clerk::pass(Time now, bool persisted) {
+    std::vector<std::pair<calls::Respond, calls::Response>> answers;
+    for (auto job = jobs_.begin(); job != jobs_.end();) {
+        auto answer = look_at(now, *job, persisted);
+        if (!answer) {
+            ++job;
+            continue;
         }
-        if (!answer) return;
-        const auto respond = std::move(job.respond);
-        jobs_.pop_front();
-        respond(std::move(*answer));
+        held_ -= job->body.size();
+        answers.emplace_back(std::move(job->respond), std::move(*answer));
+        job = jobs_.erase(job);
     }
+    // Last, since an answer may bring the next call with it.
+    for (auto& [respond, answer] : answers) respond(std::move(answer));
 }
 
 }  // namespace martenford::guildhall
--- a/src/guildhall/clerk.h
+++ b/src/guildhall/clerk.h
@@ -1,5 +1,5 @@
 // The operator's calls: checked, decided one at a time on the agreed register, and answered once that is
-// certain. Pure.
+// certain. Pure. docs/control.md tells why no two under one number are both confirmed.
 #pragma once
 
 #include <deque>
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "calls/calls.h"
 #include "charter/charter.h"
@@ -20,14 +21,14 @@
     explicit Clerk(moot::Moot& moot) : moot_(moot) {}
 
     void replace(Time now, const std::string& body, calls::Respond respond) {
-        change(now, body, true, std::move(respond));
+        take(now, Call::Replace, body, std::move(respond));
     }
     void modify(Time now, const std::string& body, calls::Respond respond) {
-        change(now, body, false, std::move(respond));
+        take(now, Call::Modify, body, std::move(respond));
     }
-    void read(Time now, calls::Respond respond);
-    /// After each turn of the register: answers what can be answered now.
-    void settle(Time now);
+    void read(Time now, calls::Respond respond) { take(now, Call::Read, "", std::move(respond)); }
+    /// After each turn of the register, once what it gave is on disk: answers what can be answered now.
+    void settle(Time now) { pass(now, true); }
     /// The newest word that is known to be committed.
     const passage::Word& word();
     /// What is refused or taken, for the log.
@@ -36,25 +37,42 @@
     std::function<std::string(const moot::Member&)> control_of;
 
   private:
+    enum class Call { Replace, Modify, Read };
+    /// One call. Undecided at first; then it waits for one of three things, or is answered.
     struct Job {
+        Call call = Call::Read;
         std::string body;
-        bool whole = false, reads = false;
+        std::uint64_t digest = 0;  ///< of the call's kind and body
         calls::Respond respond;
-        Time until{};
-        // Once decided:
-        std::optional<std::uint64_t> confirmation;  // an answer that waits for a majority's word that we lead
-        calls::Response answer;
-        std::optional<moot::Stamp> proposed;
+        Time came{};
         std::uint32_t version = 0;
+        moot::Term term = 0;  ///< in which it was decided
+        /// A new word, made from the committed one with the first stamp: the register takes it, or not yet.
+        std::optional<std::pair<moot::Stamp, std::string>> next;
+        /// The entry that holds the call's change: 200 once it is durable.
+        std::optional<moot::Stamp> holds;
+        bool repeated = false;  ///< it was found there: no change of its own
+        /// An answer that depends on what is current: given once a majority has said that this one still
+        /// leads.
+        std::optional<std::uint64_t> confirmation;
+        calls::Response answer;
     };
-    void change(Time now, const std::string& body, bool whole, calls::Respond respond);
+    void take(Time now, Call call, const std::string& body, calls::Respond respond);
+    /// One look at every call, in the order in which they came.
+    void pass(Time now, bool persisted);
+    std::optional<calls::Response> look_at(Time now, Job& job, bool persisted);
     void decide(Time now, Job& job);
+    void propose(Time now, Job& job);
+    void refuse(Time now, Job& job, unsigned status, const std::string& why, const std::string& logged = "");
     void answer_when_confirmed(Time now, Job& job, calls::Response answer);
-    calls::Response elsewhere(Time now) const;
+    calls::Response elsewhere(Time now, Call call) const;
+    bool is_settled() const { return moot_.disk().committed.stamp == moot_.disk().newest.stamp; }
 
     moot::Moot& moot_;
     std::deque<Job> jobs_;
+    std::size_t held_ = 0;  // bytes of bodies in jobs_
     moot::Stamp word_stamp_;
+    bool readable_ = true;
     passage::Word word_;
 };
 
--- a/tests/mesh/clerk_test.cpp
+++ b/tests/mesh/clerk_test.cpp
@@ -150,3 +150,30 @@
     // What was refused by the cut is not in force anywhere.
     CHECK(core.call(core.leader(), "operator", "replace", config("00000004", "00000003")) == 412);
 }
+
+TEST_CASE(
+    "thousands of changes later: a call that is known is taken still, one that is forgotten is never "
+    "refused") {
+    Core core;
+    const std::size_t leader = core.leader();
+    const auto version = [](std::uint32_t i) { return charter::text_of(i * 3); };
+    constexpr std::uint32_t kChanges = 4200;
+    for (std::uint32_t i = 1; i <= kChanges; ++i)
+        REQUIRE(core.call(leader, "", "replace", config(version(i), version(i - 1))) == 200);
+    const auto sent = [&](std::uint32_t i, int timeout = 3000) {
+        return core.call(leader, "", "replace", config(version(i), version(i - 1), "huvo", timeout));
+    };
+    CHECK(sent(1) == 503);
+    CHECK(sent(kChanges - 4096) == 503);
+    CHECK(sent(kChanges - 4095) == 200);
+    CHECK(sent(kChanges - 4095, 2000) == 412);
+    CHECK(sent(kChanges) == 200);
+}
+
+TEST_CASE("a body that is nested without end is refused, and the leader lives") {
+    Core core;
+    const std::string deep = R"({"version":"00000003","base_version":0,"listeners":[],"clusters":[],"x":)" +
+                             std::string(1'000'000, '[') + std::string(1'000'000, ']') + "}";
+    CHECK(core.call(core.leader(), "", "replace", deep) == 400);
+    CHECK(core.call(core.leader(), "", "replace", config("00000003", "00000000")) == 200);
+}
