Merge of the core's changes of members into the orders: a 200 waits for is_durable()

Cause: both changed the clerk. Change: the clerk's one condition of a 200 is is_durable(); nothing else is other than in the two parents.

--- a/src/guildhall/clerk.cpp
+++ b/src/guildhall/clerk.cpp
@@ -169,7 +169,7 @@
     if (job.holds) {
         // Committed in the term in which it was proposed, or never by us: then nothing clear can be said.
         if (!moot_.still_possible(*job.holds)) return unclear("the lead was lost; it may be in force or not");
-        if (persisted && moot_.is_committed(*job.holds)) {
+        if (persisted && moot_.is_durable(*job.holds)) {
             if (on_decided && !job.repeated) on_decided(true, job.version, "");
             return calls::Response{200, "{}"};
         }
