No answer speaks of what isn't on disk: a refusal outlived its reason

Change: an answer is given only while the register has nothing that is yet to be written; this replaces the mark of the pass that wrote.

--- a/src/guildhall/clerk.cpp
+++ b/src/guildhall/clerk.cpp
@@ -65,7 +65,7 @@
     job.came = now;
     held_ += body.size();
     jobs_.push_back(std::move(job));
-    pass(now, false);
+    settle(now);
 }
 
 void Clerk::answer_when_confirmed(Time now, Job& job, calls::Response answer) {
@@ -159,17 +159,18 @@
     held_ -= std::exchange(job.body, {}).size();
 }
 
-std::optional<calls::Response> Clerk::look_at(Time now, Job& job, bool persisted) {
+std::optional<calls::Response> Clerk::look_at(Time now, Job& job) {
     if (!job.holds && !job.confirmation) {
         if (moot_.role() != moot::Moot::Role::Leader) return elsewhere(now, job.call);
         if (moot_.leads(now)) decide(now, job);
-        // What was put into the register just now is on no disk yet, not even here.
-        if (job.holds) persisted = false;
     }
+    // What the register holds now may be on no disk yet, not even here: a core of one commits by itself, and
+    // an answer that speaks of it, be it a refusal, would outlive it.
+    const bool is_written = !moot_.has_output();
     if (job.holds) {
         // Committed in the term in which it was proposed, or never by us: then nothing clear can be said.
         if (!moot_.still_possible(*job.holds)) return unclear("the lead was lost; it may be in force or not");
-        if (persisted && moot_.is_durable(*job.holds)) {
+        if (is_written && moot_.is_durable(*job.holds)) {
             if (on_decided && !job.repeated) on_decided(true, job.version, "");
             return calls::Response{200, "{}"};
         }
@@ -179,16 +180,16 @@
     if (job.confirmation) {
         // A confirmation of another term says nothing about what was current in this one.
         if (!moot_.still_possible({job.term, 0})) return elsewhere(now, job.call);
-        if (moot_.is_confirmed(*job.confirmation)) return std::move(job.answer);
+        if (is_written && moot_.is_confirmed(*job.confirmation)) return std::move(job.answer);
     }
     if (now - job.came >= kUndecided) return unclear("undecided; nothing was done");
     return std::nullopt;
 }
 
-void Clerk::pass(Time now, bool persisted) {
+void Clerk::settle(Time now) {
     std::vector<std::pair<calls::Respond, calls::Response>> answers;
     for (auto job = jobs_.begin(); job != jobs_.end();) {
-        auto answer = look_at(now, *job, persisted);
+        auto answer = look_at(now, *job);
         if (!answer) {
             ++job;
             continue;
--- a/src/guildhall/clerk.h
+++ b/src/guildhall/clerk.h
@@ -27,8 +27,9 @@
         take(now, Call::Modify, body, std::move(respond));
     }
     void read(Time now, calls::Respond respond) { take(now, Call::Read, "", std::move(respond)); }
-    /// After each turn of the register, once what it gave is on disk: answers what can be answered now.
-    void settle(Time now) { pass(now, true); }
+    /// After each turn of the register, once what it gave is on disk and out: looks at every call, in the
+    /// order in which they came, and answers what can be answered now.
+    void settle(Time now);
     /// The newest word that is known to be committed.
     const passage::Word& word();
     /// What is refused or taken, for the log.
@@ -58,9 +59,7 @@
         calls::Response answer;
     };
     void take(Time now, Call call, const std::string& body, calls::Respond respond);
-    /// One look at every call, in the order in which they came.
-    void pass(Time now, bool persisted);
-    std::optional<calls::Response> look_at(Time now, Job& job, bool persisted);
+    std::optional<calls::Response> look_at(Time now, Job& job);
     void decide(Time now, Job& job);
     void propose(Time now, Job& job);
     void refuse(Time now, Job& job, unsigned status, const std::string& why, const std::string& logged = "");
