A leader's own copy counts once it is on disk; tests of voters, leaving and contact

Cause: found by the explorer: in a set of one voter a proposal was committed, and a 200 could go out, before the record was written (old code too).

Change: Moot::persisted(now) in place of disk_works(): the own copy counts from then on, in commits, in what a 200 waits for and in changes of members. members_test.cpp: the choice of voters, copies, growth from three seeds to five, the 200 that waits for a third copy, a leader that leaves, wakes from a freeze, the lone voter, leases from the question, a stall's first configuration.

--- a/src/guildhall/guildhall.cpp
+++ b/src/guildhall/guildhall.cpp
@@ -382,7 +382,7 @@
                 save_again_ = loop_.now() + kSaveAgain;
             } else {
                 unsaved_ = false;
-                return moot_.disk_works();
+                return moot_.persisted(loop_.now());
             }
         }
         moot_.disk_failed(loop_.now());
--- a/src/moot/moot.cpp
+++ b/src/moot/moot.cpp
@@ -27,6 +27,7 @@
     // Two with one seed would stand at the same moments for ever.
     random_ ^= self_.id * 0xd6e8feb86659fd93;
     learn_members();
+    saved_ = disk_.newest.stamp;
     ask_ = this->random();  // a restarted process is not taken for the one before it
 }
 
@@ -85,7 +86,7 @@
         for (const Member& voter : *set) {
             const auto peer = peers_.find(voter.id);
             if (voter.id == self_.id) {
-                holds.push_back(true);
+                holds.push_back(saved_ == disk_.newest.stamp);
                 rounds.push_back(round_);
                 answered.push_back(now);
             } else if (peer != peers_.end()) {
@@ -111,7 +112,7 @@
     for (const Member& voter : disk_.newest.voters) {
         const auto peer = peers_.find(voter.id);
         // What is later in this term was made from it.
-        if (voter.id == self_.id || (peer != peers_.end() && peer->second.holds >= stamp))
+        if (voter.id == self_.id ? saved_ >= stamp : peer != peers_.end() && peer->second.holds >= stamp)
             holders.push_back(known(voter));
     }
     return copies_outlive(holders, voters(), options_.tolerance);
@@ -328,6 +329,13 @@
     send(std::move(message), best->member.id);
 }
 
+void Moot::persisted(Time now) {
+    disk_broken_ = false;
+    if (saved_ == taken_) return;
+    saved_ = taken_;
+    advance(now);
+}
+
 void Moot::disk_failed(Time now) {
     disk_broken_ = true;
     out_.clear();
@@ -375,7 +383,7 @@
                               voter.id == self_.id || (peer != peers_.end() && is_live(now, peer->second))});
     }
     const auto holds = [&](MemberId id) {
-        if (id == self_.id) return true;
+        if (id == self_.id) return saved_ == disk_.newest.stamp;
         const auto peer = peers_.find(id);
         return peer != peers_.end() && peer->second.holds == disk_.newest.stamp;
     };
--- a/src/moot/moot.h
+++ b/src/moot/moot.h
@@ -95,11 +95,15 @@
     /// What take_persist() gave could not be written: nothing that follows from it may go out, and this one
     /// does not lead until a write succeeds.
     void disk_failed(Time now);
-    void disk_works() { disk_broken_ = false; }
+    /// What take_persist() gave is on disk. This one's own copy counts from then on.
+    void persisted(Time now);
 
     // ---- outputs
     /// True: disk() is to be persisted before the messages go out.
-    bool take_persist() { return std::exchange(dirty_, false); }
+    bool take_persist() {
+        taken_ = disk_.newest.stamp;
+        return std::exchange(dirty_, false);
+    }
     std::vector<Message> take_messages() { return std::exchange(out_, {}); }
 
     bool has_output() const { return dirty_ || !out_.empty(); }
@@ -200,6 +204,7 @@
     std::uint64_t round_ = 0, confirmed_ = 0;
     Time quorum_at_{};
     std::optional<Time> led_since_;
+    Stamp taken_, saved_;  // of the entry that was given to be persisted; that is on disk
     bool dirty_ = false, disk_broken_ = false, leaving_ = false;
     std::vector<Message> out_;
 };
--- a/tests/mesh/clerk_test.cpp
+++ b/tests/mesh/clerk_test.cpp
@@ -81,7 +81,7 @@
         for (bool more = true; more;) {
             more = false;
             for (auto& from : machines_) {
-                from.moot->take_persist();
+                while (from.moot->take_persist()) from.moot->persisted(now_);
                 for (const auto& message : from.moot->take_messages()) {
                     Machine& to = machines_[message.to - 1];
                     if (from.cut != to.cut) continue;
--- /dev/null
+++ b/tests/mesh/members_test.cpp
@@ -0,0 +1,294 @@
+// Who votes, what a 200 waits for, and how old a contact is: the register's answers to the worst days.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "moot/moot.h"
+#include "scales/scales.h"
+#include "stall/intake.h"
+
+using namespace martenford;
+using namespace martenford::moot;
+
+namespace {
+
+Member member(MemberId id, const std::string& zone, const std::string& region = "r") {
+    return {id, "10.0.0." + std::to_string(id) + ":7000", zone, region};
+}
+Candidate voting(MemberId id, const std::string& zone, bool live = true) {
+    return {member(id, zone), true, live};
+}
+Candidate fresh(MemberId id, const std::string& zone, const std::string& region = "r") {
+    return {member(id, zone, region), false, true};
+}
+std::set<MemberId> chosen(const std::vector<Candidate>& candidates, const Tolerance& tolerance) {
+    std::set<MemberId> ids;
+    for (const Member& m : choose_voters(candidates, tolerance)) ids.insert(m.id);
+    return ids;
+}
+
+/// Registers that hear each other at once, but for those that are silenced, held up or frozen.
+class Core {
+  public:
+    Core(std::size_t machines, std::size_t seeds, const Tolerance& tolerance) {
+        options_.tolerance = tolerance;
+        std::vector<Member> first;
+        for (MemberId id = 1; id <= seeds; ++id) first.push_back({id, member(id, "").address});
+        for (MemberId id = 1; id <= machines; ++id) {
+            Disk disk;
+            disk.self = id;
+            if (id <= seeds) disk.newest.voters = disk.committed.voters = first;
+            start(disk, "z" + std::to_string(id));
+        }
+    }
+    void start(const Disk& disk, const std::string& zone) {
+        Machine& machine = machines_[disk.self];
+        machine.moot = std::make_unique<Moot>(member(disk.self, zone), disk, options_, disk.self * 7);
+    }
+    Moot& at(MemberId id) { return *machines_.at(id).moot; }
+    void end(MemberId id) { machines_.erase(id); }
+    void cut(MemberId id, bool is) { machines_.at(id).cut = is; }
+    /// Its process stands still: what comes waits, and it hears all of it as it wakes.
+    void freeze(MemberId id) { machines_.at(id).frozen = true; }
+    void wake(MemberId id) {
+        Machine& machine = machines_.at(id);
+        machine.frozen = false;
+        for (const Message& message : std::exchange(machine.waiting, {}))
+            machine.moot->receive(now_, message);
+        persist(machine);
+    }
+    void run(Duration time) {
+        for (const Time until = now_ + time; now_ < until; now_ += 10ms) {
+            for (auto& [id, machine] : machines_) {
+                if (machine.frozen) continue;
+                for (auto& [other, to] : machines_) {
+                    if (other != id && !to.cut && !machine.cut && !to.frozen)
+                        to.moot->met(now_, member(id, "z" + std::to_string(id)));
+                }
+                machine.moot->tick(now_);
+            }
+            deliver();
+        }
+    }
+    std::optional<MemberId> leader() {
+        for (auto& [id, machine] : machines_) {
+            if (!machine.frozen && machine.moot->leads(now_)) return id;
+        }
+        return std::nullopt;
+    }
+    std::set<MemberId> voters(MemberId id) {
+        std::set<MemberId> ids;
+        for (const Member& m : at(id).disk().newest.voters) ids.insert(m.id);
+        return ids;
+    }
+    Time now() const { return now_; }
+
+  private:
+    struct Machine {
+        std::unique_ptr<Moot> moot;
+        bool cut = false, frozen = false;
+        std::vector<Message> waiting;
+    };
+    void persist(Machine& machine) {
+        while (machine.moot->take_persist()) machine.moot->persisted(now_);
+    }
+    void deliver() {
+        for (bool more = true; more;) {
+            more = false;
+            for (auto& [id, machine] : machines_) {
+                if (machine.frozen) continue;
+                persist(machine);
+                for (Message& message : machine.moot->take_messages()) {
+                    const auto to = machines_.find(message.to);
+                    if (to == machines_.end() || to->second.cut || machine.cut) continue;
+                    if (to->second.frozen) {
+                        to->second.waiting.push_back(message);
+                        continue;
+                    }
+                    to->second.moot->receive(now_, message);
+                    more = true;
+                }
+            }
+        }
+    }
+    Options options_;
+    std::map<MemberId, Machine> machines_;
+    Time now_{1s};
+};
+
+}  // namespace
+
+TEST_CASE("voters: as many as the losses that must be borne ask for, spread, and no more") {
+    using Ids = std::set<MemberId>;
+    const std::vector<Candidate> five{voting(1, "a"), voting(2, "b"), voting(3, "c"), fresh(4, "a"),
+                                      fresh(5, "b")};
+    CHECK(chosen(five, {1, 0, 0}) == Ids{1, 2, 3});
+    CHECK(chosen(five, {2, 0, 0}) == Ids{1, 2, 3, 4, 5});
+    CHECK(chosen(five, {2, 1, 0}) == Ids{1, 2, 3, 4, 5});
+    CHECK(chosen(five, {0, 1, 0}) == Ids{1, 2, 3});
+    // Two in one zone can't bear its loss; a third zone can.
+    CHECK(chosen({voting(1, "a"), voting(2, "a"), voting(3, "b"), fresh(4, "c")}, {1, 1, 0}).contains(4));
+    // Fewer machines than places: all that there are.
+    CHECK(chosen({voting(1, "a"), voting(2, "b"), voting(3, "c")}, {2, 0, 0}) == Ids{1, 2, 3});
+    CHECK(chosen({voting(1, "a"), voting(2, "b")}, {1, 0, 0}) == Ids{1, 2});
+    // A silent voter goes for a live machine, and for nobody else: its disk may come back.
+    CHECK(chosen({voting(1, "a"), voting(2, "b"), voting(3, "c", false), fresh(4, "c")}, {1, 0, 0}) ==
+          Ids{1, 2, 4});
+    CHECK(chosen({voting(1, "a"), voting(2, "b"), voting(3, "c", false)}, {1, 0, 0}) == Ids{1, 2, 3});
+    // One whose loss isn't counted never votes beside those whose loss is.
+    auto uncounted = voting(1, "a");
+    uncounted.member.counts = false;
+    CHECK(chosen({uncounted, voting(2, "b"), voting(3, "c"), fresh(4, "a")}, {1, 0, 0}) == Ids{2, 3, 4});
+    // Three regions bear the loss of one only where no majority lies in it.
+    CHECK(bears_losses(choose_voters({fresh(1, "a", "x"), fresh(2, "b", "x"), fresh(3, "c", "x"),
+                                      fresh(4, "d", "y"), fresh(5, "e", "z")},
+                                     {1, 0, 1}),
+                       {1, 0, 1}));
+}
+
+TEST_CASE("copies: enough where no loss that the voters outlive takes all of them") {
+    const std::vector<Member> voters{member(1, "a"), member(2, "a"), member(3, "b")};
+    CHECK_FALSE(copies_outlive({voters[0]}, voters, {1, 0, 0}));
+    CHECK(copies_outlive({voters[0], voters[1]}, voters, {1, 0, 0}));
+    CHECK_FALSE(copies_outlive({voters[0], voters[1]}, voters, {1, 1, 0}));
+    CHECK(copies_outlive({voters[0], voters[2]}, voters, {1, 1, 0}));
+    CHECK_FALSE(copies_outlive({voters[0], voters[2]}, voters, {2, 0, 0}));
+    CHECK(copies_outlive({voters[0]}, {voters[0]}, {1, 0, 0}));  // no copy can outlive the loss of all
+}
+
+TEST_CASE("five machines of which two may go: the three seeds take in the others before anything is taken") {
+    Core core(5, 3, {2, 0, 0});
+    core.run(400ms);
+    bool early = false;
+    for (int i = 0; i < 200 && !core.leader(); ++i) core.run(10ms);
+    REQUIRE(core.leader());
+    if (core.voters(*core.leader()).size() < 5)
+        early = core.at(*core.leader()).propose(core.now(), "x").has_value();
+    CHECK_FALSE(early);
+    core.run(1s);
+    const MemberId leader = *core.leader();
+    CHECK(core.voters(leader).size() == 5);
+    // Two go at once, the leader among them: the rest goes on with what was taken.
+    const auto stamp = core.at(leader).propose(core.now(), "taken");
+    REQUIRE(stamp);
+    core.run(100ms);
+    CHECK(core.at(leader).is_durable(*stamp));
+    core.end(leader);
+    core.end(leader % 5 + 1);
+    core.run(3s);
+    REQUIRE(core.leader());
+    CHECK(core.at(*core.leader()).disk().committed.value == "taken");
+}
+
+TEST_CASE("a 200 waits for copies that outlive what may be lost, also where fewer are a majority") {
+    Core core(3, 3, {2, 0, 0});
+    core.run(4s);  // no others come: taken all the same, on all three
+    const MemberId leader = *core.leader(), away = leader % 3 + 1;
+    core.cut(away, true);
+    const auto stamp = core.at(leader).propose(core.now(), "x");
+    REQUIRE(stamp);
+    core.run(300ms);
+    CHECK(core.at(leader).disk().committed.value == "x");
+    CHECK_FALSE(core.at(leader).is_durable(*stamp));
+    core.cut(away, false);
+    core.run(300ms);
+    CHECK(core.at(leader).is_durable(*stamp));
+}
+
+TEST_CASE("one that is to end gives lead, copy and place away first, and comes back as it left") {
+    Core core(4, 3, {1, 0, 0});
+    core.run(4s);
+    const MemberId leader = *core.leader();
+    core.at(leader).leave(core.now());
+    CHECK_FALSE(core.at(leader).has_left());
+    core.run(500ms);
+    REQUIRE(core.at(leader).has_left());
+    const Disk disk = core.at(leader).disk();
+    core.end(leader);
+    core.run(500ms);
+    const MemberId next = *core.leader();
+    CHECK(core.voters(next).size() == 3);  // the fourth has its place
+    CHECK_FALSE(core.voters(next).contains(leader));
+    // Another may go now: two of three are left.
+    const auto left = core.voters(next);
+    const MemberId second = *std::find_if(left.begin(), left.end(), [&](MemberId id) { return id != next; });
+    core.cut(second, true);
+    REQUIRE(core.at(next).propose(core.now(), "x"));
+    core.run(200ms);
+    CHECK(core.at(next).disk().committed.value == "x");
+    core.start(disk, "z" + std::to_string(leader));
+    core.run(2s);
+    CHECK(core.voters(*core.leader()).contains(leader));  // in the place of the one that is cut off
+}
+
+TEST_CASE("a leader that wakes from a freeze into a buffer of old answers leads nothing") {
+    Core core(3, 3, {1, 0, 0});
+    core.run(3s);
+    const MemberId old = *core.leader();
+    core.freeze(old);
+    core.run(20s);
+    core.wake(old);
+    CHECK_FALSE(core.at(old).leads(core.now()));
+    CHECK_FALSE(core.at(old).propose(core.now(), "x"));
+    // And a follower that wakes is in touch only once a question of its own was answered.
+    const MemberId follower = *core.leader() % 3 + 1;
+    core.freeze(follower);
+    core.run(5s);
+    core.wake(follower);
+    CHECK_FALSE(core.at(follower).in_touch(core.now(), 700ms));
+    core.run(300ms);
+    CHECK(core.at(follower).in_touch(core.now(), 700ms));
+}
+
+TEST_CASE("a lone voter's own copy counts once it is on disk") {
+    Disk disk;
+    disk.self = 1;
+    disk.newest.voters = disk.committed.voters = {{1, "10.0.0.1:7000"}};
+    Moot moot(disk.newest.voters.front(), disk, {}, 1);
+    Time now{1s};
+    for (int i = 0; i < 300; ++i) {
+        moot.tick(now += 10ms);
+        if (moot.take_persist()) moot.persisted(now);
+    }
+    REQUIRE(moot.leads(now));
+    const auto stamp = moot.propose(now, "x");
+    REQUIRE(stamp);
+    CHECK_FALSE(moot.is_durable(*stamp));
+    REQUIRE(moot.take_persist());
+    CHECK_FALSE(moot.is_durable(*stamp));
+    moot.persisted(now);
+    CHECK(moot.is_durable(*stamp));
+}
+
+TEST_CASE("a quota's lease that is read late counts from its question") {
+    const scales::Quota quota{100, 10};
+    scales::Scale late({}), prompt({});
+    const Time asked{10s}, read{12500ms};
+    prompt.granted(asked, {{"t", 100, 10, 2600}}, asked);
+    late.granted(read, {{"t", 100, 10, 2600}}, asked);
+    const auto held = [&](scales::Scale& scale, Time now) {
+        scale.admits(now, "t", quota, 10);
+        const auto demands = scale.demands(now, {"t"});
+        return demands.front().held_ms;
+    };
+    CHECK(held(late, read) <= 100);
+    late.granted(read + 1s, {{"t", 100, 10, 2600}}, asked);
+    CHECK(held(late, read + 1s) == 0);
+    CHECK(held(prompt, asked) == 2600);
+}
+
+TEST_CASE("a stall with no configuration waits for a guildhall that hears a leader, but not for long") {
+    stall::VersionIntake intake(400ms);
+    const Time start{5s};
+    CHECK_FALSE(intake.takes(start, 0, 3, false));  // cut off with an old version
+    CHECK(intake.takes(start + 20ms, 0, 7, true));
+    CHECK_FALSE(intake.takes(start + 30ms, 7, 3, true));  // never back
+    CHECK(intake.takes(start + 30ms, 7, 8, false));       // what was committed once may always be gone by
+    stall::VersionIntake alone(400ms);
+    CHECK_FALSE(alone.takes(start, 0, 3, false));
+    CHECK_FALSE(alone.takes(start + 390ms, 0, 3, false));
+    CHECK(alone.takes(start + 400ms, 0, 3, false));  // nobody hears a leader: it serves by what there is
+}
--- a/tests/mesh/moot_test.cpp
+++ b/tests/mesh/moot_test.cpp
@@ -128,7 +128,10 @@
     bool reaches(std::size_t a, std::size_t b) const { return machines_[a].cut == machines_[b].cut; }
     void flush(std::size_t i, double loss) {
         Machine& machine = machines_[i];
-        if (machine.moot->take_persist()) machine.disk = machine.moot->disk();
+        while (machine.moot->take_persist()) {
+            machine.disk = machine.moot->disk();
+            machine.moot->persisted(now_);
+        }
         for (Message& message : machine.moot->take_messages()) {
             for (std::size_t k = 0; k < machines_.size(); ++k) {
                 if (machines_[k].disk.self == message.to && random_.unit() >= loss)
--- a/tests/mesh/orders_test.cpp
+++ b/tests/mesh/orders_test.cpp
@@ -176,6 +176,7 @@
                 if (power_cuts_ && chance(5)) return stop(machine);
                 machine.disk = machine.moot->disk();
                 if (power_cuts_ && chance(5)) return stop(machine);
+                machine.moot->persisted(now_);
             }
             for (auto& message : machine.moot->take_messages()) {
                 const std::size_t from = machine.self.id - 1, to = message.to - 1;
