A proof is tied to its question: gates' own words, untied and unproven answers

Cause: three answers were taken for proof that nothing ran, or sent on as one, without a tie to their question. An endpoint's answer without Attempt-Id that says Not-Executed counted as a refusal: a surplus one of an earlier request freed an id while its request ran, and it was sent a second time. An endpoint's 503 or 429 without Not-Executed went to the client as it came: to it that is a promise. A gate's Mesh-Refused carried no id. Two hops of one id that waited at the same time were both handed on, and an id that was freed and spent anew was forgotten with the older entry.

Change: answers without Attempt-Id prove nothing; 408, 421, 429 and 503 without proof are failures that may have run; a gate's own answers carry the id, read before anything else; ids are looked up when a request leaves the queue, too, and are forgotten by the entry that stands for them. A dialect is told which request an answer is to.

--- a/src/calls/calls.cpp
+++ b/src/calls/calls.cpp
@@ -107,7 +107,7 @@
     return true;
 }
 
-void Counter::write(const Answer& answer, http::response_header<>& head) {
+void Counter::write(const Answer& answer, const loftfront::RequestId&, http::response_header<>& head) {
     if (const auto* own = dynamic_cast<const HttpAnswerHead*>(answer.head.get())) {
         head.result(own->status);
         for (const auto& field : own->fields) head.insert(field.name_string(), field.value());
--- a/src/calls/calls.h
+++ b/src/calls/calls.h
@@ -62,7 +62,7 @@
     const FrontLimits& limits() const override { return limits_; }
     DrainTimes drain_times() const override { return {100ms, 0ms, 500ms, 0ms}; }
     std::variant<loftfront::Request, TurnAway> read(Fields& head, Time arrived) override;
-    void write(const Answer& answer, http::response_header<>& head) override;
+    void write(const Answer& answer, const loftfront::RequestId& id, http::response_header<>& head) override;
     bool take(loftfront::Request request, std::shared_ptr<const Message> message, Reply reply) override;
     void received(const loftfront::RequestId&, Time) override {}
     void leave(const loftfront::RequestId& id) override { open_.erase(id); }
--- a/src/http1/dialect.cpp
+++ b/src/http1/dialect.cpp
@@ -89,7 +89,7 @@
     return request;
 }
 
-void SidecarFront::write(const Answer& answer, http::response_header<>& head) {
+void SidecarFront::write(const Answer& answer, const RequestId&, http::response_header<>& head) {
     if (answer.kind == Answer::Kind::Served) {
         head.result(http::status::ok);
         if (!answer.content_type.empty()) head.set(http::field::content_type, answer.content_type);
--- a/src/http1/dialect.h
+++ b/src/http1/dialect.h
@@ -8,7 +8,9 @@
 #include <boost/beast/http/status.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
+#include <vector>
 
 #include "core/engine.h"
 #include "http1/http.h"
@@ -45,6 +47,7 @@
     http::status status = http::status::bad_request;
     bool keep = true;  ///< the connection, where its client wants that
     Duration retry_after{};
+    std::vector<std::pair<std::string, std::string>> fields{};
 };
 
 class FrontDialect {
@@ -58,8 +61,10 @@
     /// The event that a request stands for, or what turns it away. `arrived` is when its last byte came.
     /// Fields may be added and taken off.
     virtual std::variant<loftfront::Request, TurnAway> read(Fields& head, Time arrived) = 0;
-    /// The status and the fields of an answer; its length and its connection are the front's.
-    virtual void write(const Answer& answer, http::response_header<>& head) = 0;
+    /// The status and the fields of the answer to request `id`; its length and its connection are the
+    /// front's.
+    virtual void write(const Answer& answer, const loftfront::RequestId& id,
+                       http::response_header<>& head) = 0;
 };
 
 class BackDialect {
@@ -106,7 +111,7 @@
     DrainTimes drain_times() const override;
     std::string_view ready_path() const override { return "/-/ready"; }
     std::variant<loftfront::Request, TurnAway> read(Fields& head, Time arrived) override;
-    void write(const Answer& answer, http::response_header<>& head) override;
+    void write(const Answer& answer, const loftfront::RequestId& id, http::response_header<>& head) override;
 
   private:
     const loftfront::Settings& settings_;
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -260,7 +260,7 @@
         const Time now = Loop::monotonic();
         auto request = front_.dialect_.read(head, now - since_arrival());
         if (const auto* away = std::get_if<TurnAway>(&request))
-            return turn_away(away->status, keep && away->keep && !arriving, away->retry_after);
+            return turn_away(away->status, keep && away->keep && !arriving, away->retry_after, away->fields);
         if (front_.sends_all_away()) return turn_away(http::status::service_unavailable, false);
         auto& event = std::get<Request>(request);
         timeout_ = event.deadline - (now - since_arrival());
@@ -328,7 +328,7 @@
             return;
         }
         Reply::Head head{http::status::bad_gateway, 11};
-        front_.dialect_.write(answer, head);
+        front_.dialect_.write(answer, id_, head);
         rest_ = std::move(answer.rest);
         ticket_ = std::move(answer.ticket);
         on_written_ = std::move(answer.on_written);
@@ -348,9 +348,11 @@
     }
 
     /// Answers without the module.
-    void turn_away(http::status status, bool keep, Duration retry_after = {}) {
+    void turn_away(http::status status, bool keep, Duration retry_after = {},
+                   const std::vector<std::pair<std::string, std::string>>& fields = {}) {
         body_.clear();
         Reply::Head head{status, 11};
+        for (const auto& [name, value] : fields) head.set(name, value);
         if (retry_after > Duration{}) head.set(http::field::retry_after, seconds_text(retry_after));
         head.content_length(0);
         write(std::move(head), keep);
--- a/src/stall/dialects.cpp
+++ b/src/stall/dialects.cpp
@@ -25,6 +25,8 @@
 constexpr char kRefused[] = "Mesh-Refused";  // the gate has not handed it on; ms that it would have waited
 constexpr char kFailed[] = "Mesh-Failed";    // it was handed on and may have run
 
+constexpr char kHopNumber = '#';  // stands between an Attempt-Id and the number of its hop
+
 constexpr std::size_t kMostId = 128;
 constexpr std::int64_t kMostTimeMs = 24 * 3600 * 1000;
 constexpr Duration kWayBack = 20ms;    // of an answer to a client: it must be out by so much sooner
@@ -54,6 +56,11 @@
     }
 }
 
+/// What clients take for word that the request never ran and never will.
+bool promises(unsigned status) {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 std::string_view view(boost::beast::string_view text) {
     return {text.data(), text.size()};
 }
@@ -135,7 +142,7 @@
     return request;
 }
 
-void OutboundFront::write(const Answer& answer, http::response_header<>& head) {
+void OutboundFront::write(const Answer& answer, const RequestId&, http::response_header<>& head) {
     if (answer.kind == Answer::Kind::Served) ++figures_.served;
     if (answer.kind == Answer::Kind::Refused) ++figures_.refused;
     if (answer.kind == Answer::Kind::Failed) ++figures_.failed;
@@ -165,13 +172,14 @@
 
 std::optional<Status> HopBack::classify(const http::response_header<>& head, const HttpMessage* message,
                                         EndpointId from) {
+    // Guards against a gate's word for another request: its refusal is a proof, and a proof wants to be tied.
+    if (message && view(head[kAttemptId]) != message->field(kAttemptId)) return std::nullopt;
     if (!head[kRefused].empty()) {
         const auto wait = whole_number(head[kRefused]);
         quay_.hint(from, loop_.now(), std::chrono::milliseconds(wait.value_or(1000)));
         return Status::Full;
     }
     if (!head[kFailed].empty()) return Status::Reset;
-    if (message && view(head[kAttemptId]) != message->field(kAttemptId)) return std::nullopt;
     return head.result_int() >= 500 ? Status::Error : Status::Ok;
 }
 
@@ -200,20 +208,22 @@
     toll.aim = std::chrono::milliseconds(std::clamp<std::int64_t>(aim, 0, kMostTimeMs));
     head.erase(kHop);
     Request request;
-    request.id = std::to_string(++last_);  // an id may come again here: each hop is a request of its own
+    // An id may come again here: each hop is a request of its own.
+    request.id = toll.attempt_id + kHopNumber + std::to_string(++last_);
     request.deadline = arrived + std::chrono::milliseconds(*left) - kHopBack;
     request.write = !toll.repeatable;
     gate_.prepare(request.id, std::move(toll));
     return request;
 }
 
-void HopFront::write(const Answer& answer, http::response_header<>& head) {
+void HopFront::write(const Answer& answer, const RequestId& id, http::response_header<>& head) {
     if (pass(answer, head)) {
         // What an endpoint says is not taken for the gate's own word.
         head.erase(kRefused);
         head.erase(kFailed);
         return;
     }
+    head.set(kAttemptId, id.substr(0, id.rfind(kHopNumber)));
     if (answer.kind == Answer::Kind::Refused) {
         head.result(http::status::service_unavailable);
         head.set(kRefused, std::to_string(std::max<std::int64_t>(1, millis(gate_.wait()))));
@@ -241,10 +251,13 @@
     const bool not_run = !head[kNotExecuted].empty() || status == 421;
     if (!message) return status == 200 && !head[kInstanceId].empty() ? Status::Ok : Status::Error;  // a probe
     if (message && !id.empty() && id != message->field(kAttemptId)) return std::nullopt;
-    // What doesn't say which request it answers is not taken for the answer to this one, unless it says that
-    // none ran.
-    if (id.empty()) return not_run ? Status::Full : Status::Reset;
+    // What doesn't say which request it answers is not taken for the answer to this one. Guards against a
+    // surplus answer that says "not executed" of an earlier request while this one runs.
+    if (id.empty()) return Status::Reset;
     if (not_run) return Status::Full;
+    // Guards against passing on a promise that the endpoint doesn't make: to its client these statuses say
+    // that nothing ran.
+    if (promises(status)) return Status::Reset;
     if (status / 100 == 2 && (head[kSeal].empty() || !head[http::field::content_encoding].empty()))
         return Status::Reset;
     return status >= 500 ? Status::Error : Status::Ok;
--- a/src/stall/dialects.h
+++ b/src/stall/dialects.h
@@ -36,7 +36,7 @@
     const FrontLimits& limits() const override { return limits_; }
     DrainTimes drain_times() const override;
     std::variant<loftfront::Request, TurnAway> read(Fields& head, Time arrived) override;
-    void write(const Answer& answer, http::response_header<>& head) override;
+    void write(const Answer& answer, const loftfront::RequestId& id, http::response_header<>& head) override;
 
   private:
     const boot::Settings& settings_;
@@ -80,7 +80,7 @@
     const FrontLimits& limits() const override { return limits_; }
     DrainTimes drain_times() const override;
     std::variant<loftfront::Request, TurnAway> read(Fields& head, Time arrived) override;
-    void write(const Answer& answer, http::response_header<>& head) override;
+    void write(const Answer& answer, const loftfront::RequestId& id, http::response_header<>& head) override;
 
   private:
     const boot::Settings& settings_;
--- a/src/tollgate/tollgate.cpp
+++ b/src/tollgate/tollgate.cpp
@@ -118,12 +118,7 @@
     const bool unwanted =
         closed() || call.toll.instance != instance_ || (drains_since_ && !call.toll.may_queue);
     if (unwanted || now_ >= last_start(call)) return refuse(call);
-    if (!call.toll.repeatable && spent_.contains(call.toll.attempt_id)) {
-        // It was handed on before and may have run: no promise.
-        call.open = false;
-        out_->push_back(Fail{request.id});
-        return forget(request.id);
-    }
+    if (!call.toll.repeatable && spent_.contains(call.toll.attempt_id)) return fail(call);
     if (out_now_ < slots_ && queue_.empty()) return send(call);
     if (!call.toll.may_queue || queue_.size() >= options_.most_queued || !worth_waiting(call))
         return refuse(call);
@@ -138,18 +133,32 @@
     call.out = true;
     call.sent = now_;
     ++out_now_;
-    if (!call.toll.repeatable) {
-        spent_.insert(call.toll.attempt_id);
-        spent_order_.emplace_back(now_, call.toll.attempt_id);
-        while (!spent_order_.empty() &&
-               (spent_order_.size() > kMostSpent || now_ - spent_order_.front().first > options_.once)) {
-            spent_.erase(spent_order_.front().second);
-            spent_order_.pop_front();
-        }
-    }
+    if (!call.toll.repeatable) spend(call.toll.attempt_id);
     out_->push_back(Send{call.request.id, id_, Duration{}});
 }
 
+/// From here on the id is not handed on again.
+void Tollgate::spend(const std::string& attempt_id) {
+    spent_[attempt_id] = now_;
+    spent_order_.emplace_back(now_, attempt_id);
+    while (spent_order_.size() > kMostSpent || now_ - spent_order_.front().first > options_.once) {
+        const auto& [at, id] = spent_order_.front();
+        // Only what it stands for: the id may have been freed since and spent anew.
+        if (const auto it = spent_.find(id); it != spent_.end() && it->second == at) spent_.erase(it);
+        spent_order_.pop_front();
+    }
+}
+
+/// It may have run by another hop: no promise.
+void Tollgate::fail(Call& call) {
+    const RequestId id = call.request.id;
+    call.open = false;
+    if (call.queued) queue_.erase(place_of(call));
+    call.queued = false;
+    out_->push_back(Fail{id});
+    forget(id);
+}
+
 void Tollgate::refuse(Call& call) {
     const RequestId id = call.request.id;
     call.open = false;
@@ -167,6 +176,11 @@
             refuse(call);
             continue;
         }
+        // Guards against two hops of one id that wait at the same time.
+        if (!call.toll.repeatable && spent_.contains(call.toll.attempt_id)) {
+            fail(call);
+            continue;
+        }
         waited(call);
         queue_.erase(queue_.begin());
         call.queued = false;
--- a/src/tollgate/tollgate.h
+++ b/src/tollgate/tollgate.h
@@ -7,7 +7,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -85,6 +84,8 @@
     template <class T>
     void on(const T&) {}
     void send(Call& call);
+    void spend(const std::string& attempt_id);
+    void fail(Call& call);
     void refuse(Call& call);
     void next();
     void forget(const RequestId& id);
@@ -113,8 +114,9 @@
     std::map<std::uint64_t, RequestId> numbers_;
     /// By priority, then by whose aim ends first, then by who came first.
     std::map<Place, RequestId> queue_;
+    /// Ids that must not run twice and were handed on, by when; and in that order.
+    std::unordered_map<std::string, Time> spent_;
     std::deque<std::pair<Time, std::string>> spent_order_;
-    std::set<std::string> spent_;  // ids that must not run twice and were handed on
     std::uint64_t last_ = 0;
     Time now_{};
     std::vector<loftfront::Action>* out_ = nullptr;
--- a/tests/mesh/day_test.cpp
+++ b/tests/mesh/day_test.cpp
@@ -80,7 +80,7 @@
     }
     void received(const loftfront::RequestId&, Time) override {}
     void leave(const loftfront::RequestId&) override {}
-    void write(const Answer& answer, http::response_header<>& head) override {
+    void write(const Answer& answer, const loftfront::RequestId&, http::response_header<>& head) override {
         const auto* own = static_cast<const HttpAnswerHead*>(answer.head.get());
         head.result(own->status);
         for (const auto& field : own->fields) head.insert(field.name_string(), field.value());
--- a/tests/mesh/front_test.cpp
+++ b/tests/mesh/front_test.cpp
@@ -20,7 +20,9 @@
         request.deadline = arrived + 10s;
         return request;
     }
-    void write(const Answer&, http::response_header<>& head) override { head.result(200); }
+    void write(const Answer&, const loftfront::RequestId&, http::response_header<>& head) override {
+        head.result(200);
+    }
     bool take(loftfront::Request, std::shared_ptr<const Message>, Reply reply) override {
         held = std::move(reply);
         return true;
