Work at a doubted gate is not broken off; late word of an earlier life takes nothing back

Cause of the LOST after a SIGTERM: what was out at a gate whose stall went silent, or was told as another life, was cancelled before it was known whether another gate would have it. Where none did, the client got a 502 some 0.3 s later, with its endpoint at work. And a guildhall that lagged could bring back the life before, which took back what was out at the one that lives.

Change: a withdrawal sends a second attempt elsewhere, paid as a retry is, and leaves the first out; whichever serves is the answer. Where nothing else serves, a stall that drains waits for the first, any other gives up at once as before. The view passes over a life that was followed by another. A stall that came back beside the same endpoint within its lease is another life, so that what its last process had goes elsewhere.

--- a/src/quay/berths.cpp
+++ b/src/quay/berths.cpp
@@ -1,5 +1,7 @@
 #include "quay/berths.h"
 
+#include <utility>
+
 namespace martenford::quay {
 
 using Kind = Berths::Step::Kind;
@@ -23,6 +25,8 @@
         if (!there) continue;
         Held& now = held_[node];
         if (now.key.empty()) now = {EndpointId{++last_}, key, place->life, false};
+        // Another process beside the same endpoint: what the last one had is nobody's.
+        if (std::exchange(now.life, place->life) != place->life) steps.push_back({Kind::Withdraw, now.id});
         const bool silent = known->second.silent;
         steps.push_back({Kind::Place,
                          now.id,
--- a/src/quay/quay.cpp
+++ b/src/quay/quay.cpp
@@ -54,16 +54,25 @@
     return std::any_of(berths_.begin(), berths_.end(), [](const auto& b) { return b.second.berth.ready; });
 }
 
-std::vector<std::pair<RequestId, AttemptNumber>> Quay::stranded(EndpointId id) const {
-    std::vector<std::pair<RequestId, AttemptNumber>> out;
-    for (const auto& [request, call] : calls_) {
-        if (!call.open || !call.plan.repeatable) continue;
-        for (std::size_t i = 0; i < call.attempts.size(); ++i) {
-            if (call.attempts[i].out && call.attempts[i].to == id)
-                out.emplace_back(request, static_cast<AttemptNumber>(i));
+/// A second attempt beside one that is doubted. Guards against breaking off work that its endpoint is at: a
+/// stall that is silent to the core, or told as another life, may be busy all the same.
+void Quay::on(const loftfront::Discovered&) {
+    std::vector<RequestId> lonely;
+    for (const EndpointId id : std::exchange(withdrawn_, {})) {
+        for (auto& [request, call] : calls_) {
+            if (!call.open || !call.plan.repeatable) continue;
+            bool fresh = false;
+            for (Attempt& attempt : call.attempts) {
+                if (attempt.out && attempt.to == id && !std::exchange(attempt.doubted, true)) fresh = true;
+            }
+            const bool others = std::any_of(call.attempts.begin(), call.attempts.end(),
+                                            [](const Attempt& a) { return a.out && !a.doubted; });
+            if (fresh && !others && !call.held_until) lonely.push_back(request);
         }
     }
-    return out;
+    for (const RequestId& id : lonely) {
+        if (const auto it = calls_.find(id); it != calls_.end()) retry(it->second);
+    }
 }
 
 void Quay::handle(Time now, const loftfront::Event& event, std::vector<Action>& out) {
@@ -170,16 +179,20 @@
         budgets_.try_emplace(call.plan.service, options_.bucket).first->second.earn();
     if (outcome.last) call.open = false;
     if (!call.open) return forget_if_over(outcome.id);
-    if (never_ran) {
-        call.refused.push_back(attempt.to);
-        return try_send(call);
-    }
+    if (never_ran) call.refused.push_back(attempt.to);
+    // Beside one that was doubted: another is out, or about to go.
+    if (call.held_until || std::any_of(call.attempts.begin(), call.attempts.end(),
+                                       [](const Attempt& a) { return a.out && !a.doubted; }))
+        return;
+    if (never_ran) return try_send(call);
     retry(call);
 }
 
 void Quay::retry(Call& call) {
     const Duration left = left_for_retry(call.request.deadline, now_);
-    const bool allowed = call.plan.repeatable && call.ran < call.plan.max_attempts;
+    const auto may_have_run = std::count_if(call.attempts.begin(), call.attempts.end(),
+                                            [](const Attempt& a) { return a.out || a.ran; });
+    const bool allowed = call.plan.repeatable && may_have_run < call.plan.max_attempts;
     if (!allowed || left <= Duration{}) return give_up(call);
     if (!budgets_.try_emplace(call.plan.service, options_.bucket).first->second.spend()) return give_up(call);
     call.refused.clear();
@@ -200,13 +213,18 @@
 /// The final answer, at once: a promise where nothing can have run, with a time to come back.
 void Quay::give_up(Call& call) {
     const RequestId id = call.request.id;
-    if (call.ran == 0) {
+    call.held_until.reset();
+    const bool out = any_out(call);
+    if (out && draining_) return;  // the last to end, or the deadline, brings the answer
+    for (std::size_t i = 0; out && i < call.attempts.size(); ++i) {
+        if (call.attempts[i].out) out_->push_back(Cancel{id, static_cast<AttemptNumber>(i)});
+    }
+    if (call.ran == 0 && !out) {
         out_->push_back(Refuse{id, kComeBackLeast + scaled(kComeBackSpread, random_.unit())});
     } else {
         out_->push_back(Fail{id});
     }
     call.open = false;
-    call.held_until.reset();
     forget_if_over(id);
 }
 
@@ -225,12 +243,14 @@
     forget_if_over(lapsed.id);
 }
 
+bool Quay::any_out(const Call& call) {
+    return std::any_of(call.attempts.begin(), call.attempts.end(), [](const Attempt& a) { return a.out; });
+}
+
 void Quay::forget_if_over(const RequestId& id) {
     const auto it = calls_.find(id);
     if (it == calls_.end() || it->second.open) return;
-    if (std::any_of(it->second.attempts.begin(), it->second.attempts.end(),
-                    [](const Attempt& a) { return a.out; }))
-        return;
+    if (any_out(it->second)) return;
     numbers_.erase(it->second.number);
     calls_.erase(it);
 }
--- a/src/quay/quay.h
+++ b/src/quay/quay.h
@@ -71,9 +71,12 @@
 
     void start(Time, std::vector<loftfront::Action>&) override {}
     void handle(Time now, const loftfront::Event& event, std::vector<loftfront::Action>& out) override;
-    /// Ends repeatable attempts that are out at a gate that is gone or silent: their outcome brings the
-    /// retry.
-    std::vector<std::pair<RequestId, loftfront::AttemptNumber>> stranded(EndpointId id) const;
+    /// A gate is gone or silent: what is out there and may be repeated is to go elsewhere as well, at the
+    /// next Discovered. It is not broken off: it may be at work, and where nothing else serves it, it is
+    /// waited for.
+    void withdraw(EndpointId id) { withdrawn_.push_back(id); }
+    /// From here on nothing is given up while an endpoint may be at work on it.
+    void drain() { draining_ = true; }
 
   private:
     struct Held {
@@ -86,6 +89,7 @@
     struct Attempt {
         EndpointId to{};
         bool out = false, ran = false;
+        bool doubted = false;  // its gate is gone or silent
     };
     struct Call {
         loftfront::Request request;
@@ -105,12 +109,14 @@
     void on(const loftfront::Outcome& outcome);
     void on(const loftfront::Lapsed& lapsed);
     void on(const loftfront::TimerFired& timer);
+    void on(const loftfront::Discovered& news);
     template <class T>
     void on(const T&) {}
     void try_send(Call& call);
     std::optional<EndpointId> pick(const Call& call);
     std::optional<EndpointId> least_wait(const Call& call);
     void retry(Call& call);
+    static bool any_out(const Call& call);
     void give_up(Call& call);
     void forget_if_over(const RequestId& id);
     bool tried(const Call& call, EndpointId id) const;
@@ -124,6 +130,8 @@
     std::unordered_map<RequestId, Call> calls_;
     std::unordered_map<std::uint64_t, RequestId> numbers_;
     std::uint64_t last_ = 0;
+    std::vector<EndpointId> withdrawn_;
+    bool draining_ = false;
     Time now_{};
     std::vector<loftfront::Action>* out_ = nullptr;
 };
--- a/src/rolls/rolls.cpp
+++ b/src/rolls/rolls.cpp
@@ -103,6 +103,9 @@
         if (news.whole) named.insert(place.node);
         const auto [it, fresh] = known_.try_emplace(place.node);
         Known& known = it->second;
+        // Late word of a life that is over, from a guildhall that has not heard of the next one yet. Guards
+        // against taking back what is out at the one that lives.
+        if (!fresh && place.life == known.life_before && place.life != known.place.life) continue;
         known.known_at.insert(guildhall);
         if (place.silent) {
             known.silent_at.insert(guildhall);
@@ -114,6 +117,7 @@
         const bool newer = fresh || (same_life ? place.seq > known.place.seq : !place.silent || known.silent);
         if (newer) {
             if (!same_life) {
+                known.life_before = known.place.life;
                 known.known_at = {guildhall};
                 known.silent_at.clear();
                 if (place.silent) known.silent_at.insert(guildhall);
--- a/src/rolls/rolls.h
+++ b/src/rolls/rolls.h
@@ -95,6 +95,7 @@
         std::set<std::string> known_at;
         Time told{};
         bool silent = false;  ///< all that know it say so
+        std::uint64_t life_before = 0;
     };
     /// News from a guildhall. Gives the nodes that changed.
     std::vector<std::string> take(Time now, const std::string& guildhall, const News& news);
--- a/src/stall/stall.cpp
+++ b/src/stall/stall.cpp
@@ -249,9 +249,11 @@
 
     void apply(const std::vector<std::string>& nodes) {
         using Kind = quay::Berths::Step::Kind;
+        bool withdrawn = false;
         for (const auto& step : berths_.apply(view_, nodes)) {
             if (step.kind == Kind::Withdraw) {
-                withdraw(step.id);
+                quay_.withdraw(step.id);
+                withdrawn = true;
             } else if (step.kind == Kind::Remove) {
                 hops_.remove(step.id);
                 hop_back_.forget(step.id);
@@ -262,10 +264,7 @@
                 quay_.berth(step.id, step.berth);
             }
         }
-    }
-    /// What is out at a stall that is gone or silent, and may be repeated, goes elsewhere.
-    void withdraw(EndpointId id) {
-        for (const auto& [request, attempt] : quay_.stranded(id)) engine_.cancel(request, attempt);
+        if (withdrawn) engine_.tell({});
     }
 
     // ---- the endpoint beside it
@@ -427,6 +426,7 @@
     void drain() {
         if (std::exchange(stopping_, true)) return;
         ring(Event::Stopping, "stopping");
+        quay_.drain();
         // Its endpoint, if it is still there, is used on while clients leave.
         again_.set(loop_.now() + settings_.bounds.grace / 4, [this] { gone("stopping"); });
         const auto done = [this] {
--- a/tests/mesh/hop_world.h
+++ b/tests/mesh/hop_world.h
@@ -112,6 +112,7 @@
         tcp::socket socket;
         boost::beast::flat_buffer buffer;
         http::request<http::string_body> request;
+        bool writing = false;
     };
     using Held = std::shared_ptr<Line>;
 
@@ -153,10 +154,14 @@
     void say(const Held& line, const std::string& text) {
         write(line, text, [this, line] { read(line); });
     }
-    static void write(const Held& line, const std::string& text, std::function<void()> then) {
+    /// One after another: bytes of two answers in each other are beyond what anybody could tell apart.
+    void write(const Held& line, const std::string& text, std::function<void()> then) {
+        if (std::exchange(line->writing, true))
+            return loop_.add(loop_.now() + 1ms, [=, this] { write(line, text, then); }), void();
         const auto held = std::make_shared<std::string>(text);
         asio::async_write(line->socket, asio::buffer(*held),
                           [held, line, then](const error_code& error, std::size_t) {
+                              line->writing = false;
                               if (!error) then();
                           });
     }
--- a/tests/mesh/quay_test.cpp
+++ b/tests/mesh/quay_test.cpp
@@ -230,4 +230,38 @@
     CHECK(withdrawn(told(false)));
     place.silent = true;
     CHECK(withdrawn(told(false)));
+    // Killed and back beside the same endpoint; then a guildhall that lags tells of the life before.
+    place.silent = false;
+    place.life = 4;
+    CHECK(withdrawn(told(false)));
+    rolls::Place late = place;
+    late.life = 3;
+    late.seq = 99;
+    CHECK(berths.apply(view, view.take(now, "h", {1, 1, true, {late}, {}})).empty());
+}
+
+TEST_CASE("work at a gate that is doubted goes elsewhere as well and is not broken off while we drain") {
+    for (const bool draining : {false, true}) {
+        CAPTURE(draining);
+        Desk desk;
+        desk.gates(2);
+        desk.ask("a");
+        const auto first = desk.next<Send>();
+        if (draining) desk.quay.drain();
+        desk.quay.withdraw(first->endpoint);
+        desk.handle(Discovered{});
+        const auto timer = desk.next<SetTimer>();  // and no Cancel before it
+        REQUIRE(timer);
+        desk.now = timer->at;
+        desk.handle(TimerFired{timer->token});
+        const auto second = desk.next<Send>();
+        REQUIRE(second);
+        CHECK(second->endpoint != first->endpoint);
+        desk.quay.remove(first->endpoint);
+        // The other gate has no place: nothing is left but the first.
+        desk.end("a", 1, second->endpoint, Status::Full);
+        CHECK(desk.next<Fail>().has_value() == !draining);
+        desk.end("a", 0, first->endpoint, draining ? Status::Ok : Status::Cancelled, true);
+        CHECK(desk.quay.plan("a") == nullptr);
+    }
 }
