After a broken hop the gate is asked whether the request was ever handed on

Cause: a hop that broke (reset, an idle connection that was closed as the request went out) left what must not run twice as "may have run", a 502 that its client can't repeat, also where its gate had never got it whole.

Change: the caller's stall asks that gate, on a hop of its own without the body (Mesh-Hop, offer "a"), within 0.3 s. A gate of the same life that has never handed the id on says so and bars it, wherever its first hop still is; then the request goes elsewhere or is refused with that proof. Any other answer, none, another life, or a memory that no longer reaches back so far: as before, no promise and no second sending. A stall that came back beside the same endpoint is another gate to its callers (they asked the wrong life otherwise). A gate's Mesh-Failed is its word that it did: nothing is asked.

Tests: that only Reset is no immediate failure any more is said by a case of its own in place of that line: one question to the same gate, and each of the six other ends of it is a failure without promise.

--- a/src/http1/back.cpp
+++ b/src/http1/back.cpp
@@ -384,6 +384,8 @@
 
 Back::Handle Http1Back::send(EndpointId id, std::shared_ptr<const Message> message, Time end, Done done) {
     auto request = std::static_pointer_cast<const HttpMessage>(std::move(message));
+    if (!dialect_.carries_body(*request))
+        request = std::make_shared<HttpMessage>(http::request<PieceBody>{request->head});
     Outgoing::Head head{request->head};
     dialect_.prepare(head, *request, id, end);
     if (!request->rest) {
--- a/src/http1/dialect.h
+++ b/src/http1/dialect.h
@@ -73,6 +73,8 @@
     /// Adds and takes off fields of a request before it goes to `to`; the attempt ends at `end`.
     virtual void prepare(http::request_header<>& head, const HttpMessage& message, EndpointId to,
                          Time end) = 0;
+    /// Whether the message's body goes out with it now.
+    virtual bool carries_body(const HttpMessage&) const { return true; }
     /// The request that asks an endpoint for its health.
     virtual void prepare_probe(http::request_header<>& head) = 0;
     /// How the attempt ended. Nothing: the answer is not to this request, and is passed over.
--- a/src/quay/berths.cpp
+++ b/src/quay/berths.cpp
@@ -1,7 +1,5 @@
 #include "quay/berths.h"
 
-#include <utility>
-
 namespace martenford::quay {
 
 using Kind = Berths::Step::Kind;
@@ -12,7 +10,10 @@
         const auto known = view.all().find(node);
         const rolls::Place* place = known == view.all().end() ? nullptr : &known->second.place;
         const bool there = place && !place->instance.empty() && place->state != rolls::State::Absent;
-        const std::string key = there ? place->gate + " " + place->instance + " " + place->service : "";
+        // Another process beside the same endpoint is another gate: what the last one knew is lost.
+        const std::string key = there ? place->gate + " " + place->instance + " " + place->service + " " +
+                                            std::to_string(place->life)
+                                      : "";
         const auto held = held_.find(node);
         if (held != held_.end() && held->second.key != key) {
             // A stall that lives and says that its endpoint leaves still answers for what is out there.
@@ -25,14 +26,13 @@
         if (!there) continue;
         Held& now = held_[node];
         if (now.key.empty()) now = {EndpointId{++last_}, key, place->life, false};
-        // Another process beside the same endpoint: what the last one had is nobody's.
-        if (std::exchange(now.life, place->life) != place->life) steps.push_back({Kind::Withdraw, now.id});
         const bool silent = known->second.silent;
         steps.push_back({Kind::Place,
                          now.id,
                          {place->service, place->zone, place->state == rolls::State::Ready, silent},
                          place->gate,
-                         place->instance});
+                         place->instance,
+                         place->life});
         if (silent && !now.silent) steps.push_back({Kind::Withdraw, now.id});
         now.silent = silent;
     }
--- a/src/quay/berths.h
+++ b/src/quay/berths.h
@@ -25,6 +25,7 @@
         Berth berth{};           ///< Place
         std::string gate{};      ///< Place: "ip:port"
         std::string instance{};  ///< Place: the endpoint's id
+        std::uint64_t life = 0;  ///< Place: of the stall's process
     };
     /// The nodes have changed in the rolls.
     std::vector<Step> apply(const rolls::View& view, const std::vector<std::string>& nodes);
--- a/src/quay/quay.cpp
+++ b/src/quay/quay.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kHintHolds = 300ms;                               // what a gate said of its queue
 constexpr Duration kComeBackLeast = 400ms, kComeBackSpread = 400ms;  // Retry-After of a refusal
 constexpr std::size_t kMostPrepared = 4096;
+constexpr Duration kAskTime = 300ms;  // for a gate to say whether it ever handed on what a broken hop carried
 }  // namespace
 
 void Quay::prepare(const RequestId& id, Plan plan) {
@@ -45,6 +46,19 @@
     return it == calls_.end() ? Offer::Queue : it->second.offer;
 }
 
+std::optional<Duration> Quay::asks(const RequestId& id) const {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || it->second.attempts.empty()) return std::nullopt;
+    const auto asked = it->second.attempts.back().asks_for;
+    if (!asked) return std::nullopt;
+    return now_ - it->second.attempts[*asked].sent;
+}
+
+void Quay::handed_on(const RequestId& id) {
+    const auto it = calls_.find(id);
+    if (it != calls_.end() && !it->second.attempts.empty()) it->second.attempts.back().handed_on = true;
+}
+
 const Plan* Quay::plan(const RequestId& id) const {
     const auto it = calls_.find(id);
     return it == calls_.end() ? nullptr : &it->second.plan;
@@ -130,6 +144,10 @@
     for (const EndpointId id : call.refused) {
         const auto it = berths_.find(id);
         if (it == berths_.end() || !it->second.berth.ready || now_ - it->second.hinted > kHintHolds) continue;
+        // It has barred the id.
+        if (std::any_of(call.attempts.begin(), call.attempts.end(),
+                        [&](const Attempt& a) { return a.asks_for && a.to == id; }))
+            continue;
         if (it->second.wait < least) {
             least = it->second.wait;
             best = id;
@@ -154,7 +172,8 @@
     if (!to) return give_up(call);
     ++call.offers;
     ++berths_.at(*to).out;
-    call.attempts.push_back({*to, true, false});
+    call.attempts.push_back({*to, true});
+    call.attempts.back().sent = now_;
     out_->push_back(Send{call.request.id, *to, Duration{}});
 }
 
@@ -169,8 +188,9 @@
     if (berth != berths_.end()) --berth->second.out;
     const bool never_ran = outcome.status == Status::Full || outcome.status == Status::ConnectFailed ||
                            outcome.status == Status::Moot;
-    attempt.ran = !never_ran;
-    if (!never_ran) ++call.ran;
+    const auto asked = attempt.asks_for;
+    attempt.ran = !never_ran && !asked;
+    if (attempt.ran) ++call.ran;
     if (berth != berths_.end()) {
         if (outcome.status == Status::ConnectFailed) berth->second.shun = now_ + kShunUnreached;
         if (outcome.status == Status::Reset) berth->second.shun = now_ + kShunFailed;
@@ -179,6 +199,15 @@
         budgets_.try_emplace(call.plan.service, options_.bucket).first->second.earn();
     if (outcome.last) call.open = false;
     if (!call.open) return forget_if_over(outcome.id);
+    if (asked) {
+        // Only the gate's own word frees it: one that can't be reached may have handed it on before.
+        if (outcome.status != Status::Full) return give_up(call);
+        call.attempts[*asked].ran = false;
+        --call.ran;
+        call.refused.push_back(attempt.to);
+        return try_send(call);
+    }
+    if (outcome.status == Status::Reset && ask(call, outcome.attempt)) return;
     if (never_ran) call.refused.push_back(attempt.to);
     // Beside one that was doubted: another is out, or about to go.
     if (call.held_until || std::any_of(call.attempts.begin(), call.attempts.end(),
@@ -188,6 +217,21 @@
     retry(call);
 }
 
+/// After a broken hop: whether what must not run twice was ever handed on. The gate that says no has barred
+/// it.
+bool Quay::ask(Call& call, std::size_t attempt) {
+    const Attempt broken = call.attempts[attempt];
+    const auto berth = berths_.find(broken.to);  // of the same life, or it is not there
+    if (call.plan.repeatable || broken.handed_on || berth == berths_.end() ||
+        left_for_retry(call.request.deadline, now_) <= Duration{})
+        return false;
+    ++berth->second.out;
+    call.attempts.push_back({broken.to, true});
+    call.attempts.back().asks_for = attempt;
+    out_->push_back(Send{call.request.id, broken.to, kAskTime});
+    return true;
+}
+
 void Quay::retry(Call& call) {
     const Duration left = left_for_retry(call.request.deadline, now_);
     const auto may_have_run = std::count_if(call.attempts.begin(), call.attempts.end(),
--- a/src/quay/quay.h
+++ b/src/quay/quay.h
@@ -66,6 +66,11 @@
     void hint(EndpointId id, Time now, Duration wait);
     /// How the attempt of a request that goes out now is offered.
     Offer offer(const RequestId& id) const;
+    /// Where what goes out now only asks whether an earlier hop to that gate was ever handed on: how long ago
+    /// that hop went.
+    std::optional<Duration> asks(const RequestId& id) const;
+    /// The gate says that it has handed on the attempt that is out.
+    void handed_on(const RequestId& id);
     const Plan* plan(const RequestId& id) const;
     bool any_ready() const;
 
@@ -89,7 +94,10 @@
     struct Attempt {
         EndpointId to{};
         bool out = false, ran = false;
-        bool doubted = false;  // its gate is gone or silent
+        bool doubted = false;    // its gate is gone or silent
+        bool handed_on = false;  // its gate said so
+        Time sent{};
+        std::optional<std::size_t> asks_for{};  // another: whether that one was ever handed on
     };
     struct Call {
         loftfront::Request request;
@@ -116,6 +124,7 @@
     std::optional<EndpointId> pick(const Call& call);
     std::optional<EndpointId> least_wait(const Call& call);
     void retry(Call& call);
+    bool ask(Call& call, std::size_t attempt);
     static bool any_out(const Call& call);
     void give_up(Call& call);
     void forget_if_over(const RequestId& id);
--- a/src/stall/dialects.cpp
+++ b/src/stall/dialects.cpp
@@ -21,7 +21,10 @@
 constexpr char kNotExecuted[] = "Not-Executed";
 constexpr char kSeal[] = "Server-Seal";
 // On the hop alone.
-constexpr char kHop[] = "Mesh-Hop";          // "instance;offer;repeatable;priority;ms to its aim;kind"
+// "instance;offer;repeatable;priority;ms to its aim;kind;life". The offer is f (if a slot is free), q (or
+// wait) or a (ask): then nothing is handed on, and in place of the aim stands how many ms ago the hop went
+// that is asked for.
+constexpr char kHop[] = "Mesh-Hop";
 constexpr char kRefused[] = "Mesh-Refused";  // the gate has not handed it on; ms that it would have waited
 constexpr char kFailed[] = "Mesh-Failed";    // it was handed on and may have run
 
@@ -159,15 +162,23 @@
 void HopBack::prepare(http::request_header<>& head, const HttpMessage& message, EndpointId to, Time end) {
     const RequestId id(message.field(kAttemptId));
     const auto* plan = quay_.plan(id);
-    const auto instance = instances_.find(to);
+    const auto gate = gates_.find(to);
+    const auto asks = quay_.asks(id);
+    const Duration aim = plan ? plan->aim_end - loop_.now() : Duration{};
     head.set(kTimeRemaining, std::to_string(std::max<std::int64_t>(1, millis(end - loop_.now()))));
-    head.set(kHop,
-             (instance == instances_.end() ? std::string() : instance->second) + ";" +
-                 (quay_.offer(id) == quay::Offer::Queue ? "q" : "f") + ";" +
-                 (plan && plan->repeatable ? "r" : "o") + ";" + std::to_string(plan ? plan->priority : 0) +
-                 ";" +
-                 std::to_string(plan ? std::max<std::int64_t>(0, millis(plan->aim_end - loop_.now())) : 0) +
-                 ";" + std::to_string(plan ? plan->kind : 0));
+    head.set(kHop, (gate == gates_.end() ? std::string() : gate->second.instance) + ";" +
+                       (asks                                    ? "a"
+                        : quay_.offer(id) == quay::Offer::Queue ? "q"
+                                                                : "f") +
+                       ";" + (plan && plan->repeatable ? "r" : "o") + ";" +
+                       std::to_string(plan ? plan->priority : 0) + ";" +
+                       std::to_string(std::max<std::int64_t>(0, asks ? millis(*asks) + 1 : millis(aim))) +
+                       ";" + std::to_string(plan ? plan->kind : 0) + ";" +
+                       std::to_string(gate == gates_.end() ? 0 : gate->second.life));
+}
+
+bool HopBack::carries_body(const HttpMessage& message) const {
+    return !quay_.asks(RequestId(message.field(kAttemptId)));
 }
 
 std::optional<Status> HopBack::classify(const http::response_header<>& head, const HttpMessage* message,
@@ -179,7 +190,10 @@
         quay_.hint(from, loop_.now(), std::chrono::milliseconds(wait.value_or(1000)));
         return Status::Full;
     }
-    if (!head[kFailed].empty()) return Status::Reset;
+    if (!head[kFailed].empty()) {
+        if (message) quay_.handed_on(RequestId(message->field(kAttemptId)));
+        return Status::Reset;
+    }
     return head.result_int() >= 500 ? Status::Error : Status::Ok;
 }
 
@@ -194,7 +208,7 @@
     const auto parts = parts_of(view(head[kHop]));
     const auto id = head[kAttemptId];
     const auto left = whole_number(head[kTimeRemaining]);
-    if (parts.size() != 6 || id.empty() || id.size() > kMostId || !left || *left < 1 || *left > kMostTimeMs)
+    if (parts.size() < 7 || id.empty() || id.size() > kMostId || !left || *left < 1 || *left > kMostTimeMs)
         return TurnAway{http::status::bad_request};
     tollgate::Toll toll;
     toll.instance = parts[0];
@@ -206,6 +220,18 @@
     std::from_chars(parts[4].data(), parts[4].data() + parts[4].size(), aim);
     std::from_chars(parts[5].data(), parts[5].data() + parts[5].size(), toll.kind);
     toll.aim = std::chrono::milliseconds(std::clamp<std::int64_t>(aim, 0, kMostTimeMs));
+    if (parts[1] == "a") {
+        const bool same_life = parts[6] == std::to_string(life_);
+        const bool never = same_life && gate_.bar(Loop::monotonic(), toll.attempt_id, toll.aim);
+        TurnAway word{http::status::service_unavailable, true, {}, {{kAttemptId, toll.attempt_id}}};
+        if (never) {
+            word.fields.emplace_back(kRefused,
+                                     std::to_string(std::max<std::int64_t>(1, millis(gate_.wait()))));
+        } else {
+            word.fields.emplace_back(kFailed, "1");
+        }
+        return word;
+    }
     head.erase(kHop);
     Request request;
     // An id may come again here: each hop is a request of its own.
--- a/src/stall/dialects.h
+++ b/src/stall/dialects.h
@@ -52,11 +52,14 @@
 class HopBack : public BackDialect {
   public:
     HopBack(quay::Quay& quay, Loop& loop) : quay_(quay), loop_(loop) {}
-    /// The endpoint that this id stands for.
-    void name(EndpointId id, const std::string& instance) { instances_[id] = instance; }
-    void forget(EndpointId id) { instances_.erase(id); }
+    /// The endpoint that this id stands for, and the life of the stall beside it.
+    void name(EndpointId id, const std::string& instance, std::uint64_t life) {
+        gates_[id] = {instance, life};
+    }
+    void forget(EndpointId id) { gates_.erase(id); }
 
     void prepare(http::request_header<>& head, const HttpMessage& message, EndpointId to, Time end) override;
+    bool carries_body(const HttpMessage& message) const override;
     void prepare_probe(http::request_header<>&) override {}
     std::optional<loftfront::Status> classify(const http::response_header<>& head, const HttpMessage* message,
                                               EndpointId from) override;
@@ -66,13 +69,19 @@
   private:
     quay::Quay& quay_;
     Loop& loop_;
-    std::unordered_map<EndpointId, std::string> instances_;
+    struct Gate {
+        std::string instance;
+        std::uint64_t life = 0;
+    };
+    std::unordered_map<EndpointId, Gate> gates_;
 };
 
 /// Other stalls, on `inbound`.
 class HopFront : public FrontDialect {
   public:
-    HopFront(const boot::Settings& settings, tollgate::Tollgate& gate) : settings_(settings), gate_(gate) {
+    /// `life` of this process: what it has handed on is known in it alone.
+    HopFront(const boot::Settings& settings, tollgate::Tollgate& gate, std::uint64_t life)
+        : settings_(settings), gate_(gate), life_(life) {
         limits_.idle_time = 30s;
         limits_.most_header = 32 * 1024;
         limits_.most_body = 256u * 1024 * 1024;  // the caller's stall has held it to the configuration's
@@ -85,6 +94,7 @@
   private:
     const boot::Settings& settings_;
     tollgate::Tollgate& gate_;
+    const std::uint64_t life_;
     FrontLimits limits_;
     std::uint64_t last_ = 0;
 };
--- a/src/stall/stall.cpp
+++ b/src/stall/stall.cpp
@@ -85,7 +85,7 @@
           hop_back_(quay_, loop_),
           endpoint_back_(gate_),
           outbound_(settings, quay_, scale_, figures_, [this] { return view_.all().size(); }),
-          inbound_(settings, gate_),
+          inbound_(settings, gate_, life_),
           tally_(counters_, {}),
           gate_tally_(gate_counters_, {}),
           places_((settings.descriptors > 1200 ? settings.descriptors - 700 : settings.descriptors / 2) -
@@ -259,7 +259,7 @@
                 hop_back_.forget(step.id);
                 quay_.remove(step.id);
             } else if (const auto at = parse_address(step.gate)) {
-                hop_back_.name(step.id, step.instance);
+                hop_back_.name(step.id, step.instance, step.life);
                 hops_.place(step.id, *at, true);
                 quay_.berth(step.id, step.berth);
             }
--- a/src/tollgate/tollgate.cpp
+++ b/src/tollgate/tollgate.cpp
@@ -145,10 +145,19 @@
         const auto& [at, id] = spent_order_.front();
         // Only what it stands for: the id may have been freed since and spent anew.
         if (const auto it = spent_.find(id); it != spent_.end() && it->second == at) spent_.erase(it);
+        forgotten_ = at;
         spent_order_.pop_front();
     }
 }
 
+bool Tollgate::bar(Time now, const std::string& attempt_id, Duration age) {
+    now_ = now;
+    if (spent_.contains(attempt_id)) return false;
+    if (forgotten_ && now - age - options_.ask_slack <= *forgotten_) return false;
+    spend(attempt_id);
+    return true;
+}
+
 /// It may have run by another hop: no promise.
 void Tollgate::fail(Call& call) {
     const RequestId id = call.request.id;
--- a/src/tollgate/tollgate.h
+++ b/src/tollgate/tollgate.h
@@ -41,6 +41,7 @@
             2500ms;  ///< nothing reaches an endpoint later than this after its drain was acknowledged
         Duration drain_margin = 700ms;  ///< and here nothing does this much sooner
         Duration once = 60s;            ///< for so long an id that must not run twice is remembered
+        Duration ask_slack = 2s;        ///< a question is on its way for less: its caller waits 0.3 s
         std::size_t most_queued = 256;
     };
     explicit Tollgate(const Options& options) : options_(options) {}
@@ -53,6 +54,9 @@
 
     void prepare(const RequestId& id, Toll toll) { prepared_[id] = std::move(toll); }
     const Toll* toll(const RequestId& id) const;
+    /// Whether an id that must not run twice, of a hop that went `age` ago, was never handed on here. If so
+    /// it never will be: it is barred. False where that is not known any more.
+    bool bar(Time now, const std::string& attempt_id, Duration age);
     /// How long a request that came now would wait for a slot.
     Duration wait() const;
     std::size_t queued() const { return queue_.size(); }
@@ -117,6 +121,7 @@
     /// Ids that must not run twice and were handed on, by when; and in that order.
     std::unordered_map<std::string, Time> spent_;
     std::deque<std::pair<Time, std::string>> spent_order_;
+    std::optional<Time> forgotten_;  // when the newest of those was spent that are not remembered any more
     std::uint64_t last_ = 0;
     Time now_{};
     std::vector<loftfront::Action>* out_ = nullptr;
--- a/tests/mesh/hop_test.cpp
+++ b/tests/mesh/hop_test.cpp
@@ -60,3 +60,21 @@
     CHECK(statuses[502] > 0);
     CHECK(statuses[503] > 0);
 }
+
+TEST_CASE("after a broken hop a gate that never got the request frees it, one that handed it on does not") {
+    constexpr int kHalf = 0, kWhole = 2;  // of the request reaches the gate, then the hop is reset
+    World world(1, 2);
+    const auto ask = [&](const std::string& id, std::optional<int> first, std::optional<int> second) {
+        world.gates[0]->relay->once = first;
+        world.gates[1]->relay->once = second;
+        const auto heard = world.ask_once(World::request_text(id, false));
+        return heard ? heard->status : 0;
+    };
+    for (int i = 0; i < 6; ++i) CHECK(ask("half" + std::to_string(i), kHalf, std::nullopt) == 200);
+    CHECK(ask("both", kHalf, kHalf) == 503);
+    CHECK(world.history.ran["both"] == 0);
+    // Both gates have a connection to their endpoint: none waits for one and is withdrawn.
+    for (int i = 0; i < 8; ++i) CHECK(ask("warm" + std::to_string(i), std::nullopt, std::nullopt) == 200);
+    CHECK(ask("whole", kWhole, kWhole) == 502);
+    CHECK(world.until([&] { return world.history.ran["whole"] == 1; }, 5s));
+}
--- a/tests/mesh/hop_world.h
+++ b/tests/mesh/hop_world.h
@@ -190,7 +190,7 @@
               });
           }) {}
     Address at() const { return listener_.at(); }
-    std::optional<int> always;  // done to what goes up
+    std::optional<int> once;  // done to what goes up next
 
   private:
     struct Pair {
@@ -205,7 +205,7 @@
             [this, pair, up](const error_code& error, std::size_t size) {
                 auto& to = up ? pair->far : pair->near;
                 if (error) return reset(to);
-                const int harm = up && always                         ? *always
+                const int harm = up && once                           ? *std::exchange(once, std::nullopt)
                                  : trouble_ && random_.below(16) == 0 ? static_cast<int>(random_.below(5))
                                                                       : -1;
                 const auto held = std::make_shared<std::string>((up ? pair->up : pair->down).data(),
@@ -265,7 +265,7 @@
         : endpoint(loop, random, history, trouble),
           toll(tollgate::Tollgate::Options{}),
           back(toll),
-          inbound(settings, toll),
+          inbound(settings, toll, 7),
           tally(counters, {}),
           to_endpoint(loop, back, back_limits(), 64, 0, counters),
           engine(loop, to_endpoint, back_limits(), std::make_unique<Lent<tollgate::Tollgate>>(toll), tally),
@@ -309,7 +309,7 @@
             const std::string instance = "i-" + std::to_string(i);
             gates.push_back(std::make_unique<Gate>(loop_, random_, history, trouble, settings_, instance));
             const auto id = static_cast<loftfront::EndpointId>(i);
-            hop_back_.name(id, instance);
+            hop_back_.name(id, instance, 7);
             hops_.place(id, gates.back()->relay->at(), true);
             quay_.berth(id, {"s", "z", true, false});
         }
--- a/tests/mesh/quay_test.cpp
+++ b/tests/mesh/quay_test.cpp
@@ -163,7 +163,44 @@
         const auto send = desk.next<Send>();
         desk.end("a", 0, send->endpoint, status);
         REQUIRE(desk.out.size() == 1);
-        CHECK(std::holds_alternative<Fail>(desk.out.front()));
+        if (status != Status::Reset) CHECK(std::holds_alternative<Fail>(desk.out.front()));
+    }
+}
+
+TEST_CASE("after a broken hop its gate alone is asked, and nothing but its refusal frees the request") {
+    for (const Status word : {Status::Full, Status::Reset, Status::Error, Status::Timeout,
+                              Status::ConnectFailed, Status::Moot, Status::Cancelled}) {
+        CAPTURE(static_cast<int>(word));
+        Desk desk;
+        desk.gates(2);
+        desk.ask("a", false);
+        const auto first = desk.next<Send>();
+        CHECK_FALSE(desk.quay.asks("a"));
+        desk.now += 100ms;
+        desk.end("a", 0, first->endpoint, Status::Reset);
+        const auto question = desk.next<Send>();
+        REQUIRE(question);
+        CHECK(question->endpoint == first->endpoint);
+        CHECK(desk.quay.asks("a") == 100ms);
+        CHECK(desk.out.empty());
+        desk.end("a", 1, question->endpoint, word);
+        REQUIRE(desk.out.size() == 1);
+        if (word == Status::Full) {
+            CHECK(desk.next<Send>()->endpoint != first->endpoint);
+            CHECK_FALSE(desk.quay.asks("a"));
+        } else {
+            CHECK(std::holds_alternative<Fail>(desk.out.front()));
+        }
+    }
+    // A gate that said that it had handed it on, or is no more as it was, is not asked.
+    for (const bool told : {true, false}) {
+        Desk desk;
+        desk.gates(2);
+        desk.ask("a", false);
+        const auto first = desk.next<Send>();
+        told ? desk.quay.handed_on("a") : desk.quay.remove(first->endpoint);
+        desk.end("a", 0, first->endpoint, Status::Reset);
+        CHECK(desk.next<Fail>());
     }
 }
 
--- a/tests/mesh/tollgate_test.cpp
+++ b/tests/mesh/tollgate_test.cpp
@@ -130,6 +130,36 @@
     CHECK(gate.said(gate.ask(gate.toll("other"))) == "send ");
 }
 
+TEST_CASE(
+    "an id that was never handed on is barred by the question, also where its hop waits or is yet to come") {
+    Gate gate;
+    const auto first = gate.ask(gate.toll("a"));
+    gate.ask(gate.toll("b"));
+    const auto waits = gate.ask(gate.toll("c"));
+    CHECK_FALSE(gate.gate.bar(gate.now, "a", 10ms));
+    CHECK(gate.gate.bar(gate.now, "c", 10ms));
+    CHECK(gate.gate.bar(gate.now, "d", 10ms));
+    gate.end(first, Status::Ok);
+    CHECK(gate.said(waits) == "fail ");
+    CHECK(gate.said(gate.ask(gate.toll("d"))) == "fail ");
+    // What was handed on while that hop was out may have been forgotten: nobody knows.
+    gate.now += 61s;
+    gate.end("2", Status::Ok);
+    gate.ask(gate.toll("e"));
+    CHECK_FALSE(gate.gate.bar(gate.now, "f", 61s));
+    CHECK(gate.gate.bar(gate.now, "f", 10s));
+}
+
+TEST_CASE("an id that was freed and handed on again is remembered from then on") {
+    Gate gate;
+    gate.end(gate.ask(gate.toll("a")), Status::Full);
+    gate.now += 59s;
+    gate.end(gate.ask(gate.toll("a")), Status::Reset);
+    gate.now += 2s;
+    gate.end(gate.ask(gate.toll("other")), Status::Ok);
+    CHECK(gate.said(gate.ask(gate.toll("a"))) == "fail ");
+}
+
 TEST_CASE("a request for another life of the endpoint is refused") {
     Gate gate;
     Toll old = gate.toll("a");
