--- a/src/stall/stall.cpp
+++ b/src/stall/stall.cpp
@@ -88,7 +88,7 @@
           hop_back_(quay_, loop_),
           endpoint_back_(gate_),
           outbound_(settings, quay_, scale_, figures_, [this] { return view_.all().size(); }),
-          inbound_(settings, gate_),
+          inbound_(settings, gate_, life_),
           tally_(counters_, {}),
           gate_tally_(gate_counters_, {}),
           places_((settings.descriptors > 1200 ? settings.descriptors - 700 : settings.descriptors / 2) -
@@ -269,23 +269,22 @@
 
     void apply(const std::vector<std::string>& nodes) {
         using Kind = quay::Berths::Step::Kind;
+        bool withdrawn = false;
         for (const auto& step : berths_.apply(view_, nodes)) {
             if (step.kind == Kind::Withdraw) {
-                withdraw(step.id);
+                quay_.withdraw(step.id);
+                withdrawn = true;
             } else if (step.kind == Kind::Remove) {
                 hops_.remove(step.id);
                 hop_back_.forget(step.id);
                 quay_.remove(step.id);
             } else if (const auto at = parse_address(step.gate)) {
-                hop_back_.name(step.id, step.instance);
+                hop_back_.name(step.id, step.instance, step.life);
                 hops_.place(step.id, *at, true);
                 quay_.berth(step.id, step.berth);
             }
         }
-    }
-    /// What is out at a stall that is gone or silent, and may be repeated, goes elsewhere.
-    void withdraw(EndpointId id) {
-        for (const auto& [request, attempt] : quay_.stranded(id)) engine_.cancel(request, attempt);
+        if (withdrawn) engine_.tell({});
     }
 
     // ---- the endpoint beside it
@@ -447,6 +446,7 @@
     void drain() {
         if (std::exchange(stopping_, true)) return;
         ring(Event::Stopping, "stopping");
+        quay_.drain();
         // Its endpoint, if it is still there, is used on while clients leave.
         again_.set(loop_.now() + settings_.bounds.grace / 4, [this] { gone("stopping"); });
         const auto done = [this] {
