--- a/tests/mesh/day_test.cpp
+++ b/tests/mesh/day_test.cpp
@@ -3,106 +3,26 @@
 // guildhall's disk lost. Each "machine" is an address of its own (127.0.x.y). Nothing waits for a time; all
 // waits are for what is to be seen.
 #include <doctest/doctest.h>
-#include <fcntl.h>
 #include <signal.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
-#include <unistd.h>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
-#include <chrono>
-#include <filesystem>
-#include <fstream>
 #include <map>
 #include <set>
 
-#include "calls/calls.h"
-#include "charter/described.h"
-#include "core/loop.h"
+#include "mesh/rig/processes.h"
+#include "mesh/rig/standins.h"
 
 using namespace martenford;
+using rig::at;
+using rig::Endpoint;
+using rig::Port;
+using rig::Said;
 
 namespace {
 
-constexpr int kPorts = 21800;  // below the ports that the system gives away by itself
-
-/// An endpoint: answers each request once, with its seal, and remembers what it ran.
-class Endpoint : private FrontDialect, private Desk {
-  public:
-    Endpoint(Loop& loop, const std::string& id, const std::string& at, std::multiset<std::string>& ran,
-             Counters& counters)
-        : id_(id),
-          at_(at),
-          ran_(ran),
-          front_(
-              loop, *this, *this, 64, [] { return true; }, counters) {
-        front_.listen(*parse_address(at));
-    }
-    const std::string& id() const { return id_; }
-    /// Listens no more; it stays until the loop has run all that it had begun.
-    void end() {
-        front_.drain([] {}, true);
-    }
-    std::string beat(const std::string& service, const std::string& state) {
-        return R"({"address":")" + at_ + R"(","node_info":{"service":")" + service +
-               R"(","version":"v1","zone":"z","slots":4},"status":{"state":")" + state + R"(","call_seq":)" +
-               std::to_string(++seq_) + R"(,"cold_left_ms":0}})";
-    }
-    std::set<std::string> callers, tenants;
-
-  private:
-    const FrontLimits& limits() const override { return limits_; }
-    DrainTimes drain_times() const override { return {}; }
-    std::variant<loftfront::Request, TurnAway> read(Fields& head, Time arrived) override {
-        if (head["Expected-Instance"] != id_) return TurnAway{http::status::misdirected_request};
-        if (!head["Api-Key"].empty()) return TurnAway{http::status::bad_request};
-        loftfront::Request request;
-        request.id = std::string(head["Attempt-Id"]);
-        request.deadline = arrived + 5s;
-        callers.insert(std::string(head["Caller-Service"]));
-        tenants.insert(std::string(head["Tenant-Name"]));
-        return request;
-    }
-    bool take(loftfront::Request request, std::shared_ptr<const Message>, Reply reply) override {
-        ran_.insert(request.id);
-        Answer answer;
-        answer.kind = Answer::Kind::Served;
-        auto head = std::make_shared<HttpAnswerHead>();
-        head->status = 200;
-        head->fields.set("Attempt-Id", request.id);
-        head->fields.set("Server-Seal", "seal-" + id_);
-        answer.head = std::move(head);
-        answer.body = std::string(100'000, 's');
-        reply(std::move(answer));
-        return true;
-    }
-    void received(const loftfront::RequestId&, Time) override {}
-    void leave(const loftfront::RequestId&) override {}
-    void write(const Answer& answer, http::response_header<>& head) override {
-        const auto* own = static_cast<const HttpAnswerHead*>(answer.head.get());
-        head.result(own->status);
-        for (const auto& field : own->fields) head.insert(field.name_string(), field.value());
-    }
-
-    const std::string id_, at_;
-    std::multiset<std::string>& ran_;
-    FrontLimits limits_;
-    int seq_ = 0;
-    Http1Front front_;
-};
-
-struct Said {
-    int status = 0;
-    std::string head, body;
-};
-
 class Mesh {
   public:
     Mesh() {
-        char path[] = "/tmp/mesh-day-XXXXXX";
-        folder_ = ::mkdtemp(path);
         for (int i = 1; i <= 3; ++i) start_core(i, true);
         for (int i = 1; i <= 4; ++i) {
             start_stall(i);
@@ -110,35 +30,21 @@
         }
     }
     ~Mesh() {
-        for (const auto& [name, pid] : processes_) {
-            ::kill(pid, SIGKILL);
-            ::waitpid(pid, nullptr, 0);
-        }
-        std::filesystem::remove_all(folder_);
         endpoints.clear();  // before the loop that they listen in
         past_.clear();
     }
     static std::string core(int i) { return "127.0.91." + std::to_string(i); }
     static std::string side(int i) { return "127.0.92." + std::to_string(i); }
-    static std::string port(int offset) { return std::to_string(kPorts + offset); }
 
     void start_core(int i, bool first) {
-        const std::string disk = folder_ + "/core-" + std::to_string(i);
-        std::filesystem::create_directories(disk);
-        write("core-" + std::to_string(i),
-              "data_directory = \"" + disk + "\"\n[listen_addrs]\ncontrol = \"" + core(i) + ":" + port(0) +
-                  "\"\n",
-              core(i), first);
-        launch("core-" + std::to_string(i), GUILDHALL);
+        rig::Machine machine = machine_of("core-" + std::to_string(i), core(i));
+        machine.first_boot = first;
+        processes_.start(machine);
     }
     void start_stall(int i) {
-        const std::string at = side(i) + ":";
-        write("side-" + std::to_string(i),
-              "service = \"" + service(i) + "\"\napp_address = \"" + at + port(1) +
-                  "\"\n[listen_addrs]\ninbound = \"" + at + port(2) + "\"\noutbound = \"" + at + port(3) +
-                  "\"\nreadiness = \"" + at + port(4) + "\"\ncontrol = \"" + at + port(0) + "\"\n",
-              side(i), true);
-        launch("side-" + std::to_string(i), STALL);
+        rig::Machine machine = machine_of("side-" + std::to_string(i), side(i));
+        machine.service = service(i);
+        processes_.start(machine);
     }
     static std::string service(int i) { return i <= 3 ? "web" : "vault"; }
     void add_endpoint(int i, const std::string& id) {
@@ -146,83 +52,57 @@
             endpoints[i]->end();
             past_.push_back(std::move(endpoints[i]));
         }
-        endpoints[i] = std::make_unique<Endpoint>(loop_, id, side(i) + ":" + port(1), ran, counters_);
+        endpoints[i] = std::make_unique<Endpoint>(
+            loop_, id, at(side(i), Port::App),
+            [this, i](const Endpoint::Asked& asked) {
+                ran.insert(asked.id);
+                callers[i].insert(asked.caller);
+                tenants[i].insert(asked.tenant);
+                CHECK(asked.key.empty());
+                return Endpoint::Work{std::string(100'000, 's')};
+            },
+            counters_);
     }
     void end(const std::string& name, int signal) {
-        ::kill(processes_.at(name), signal);
-        int status = 0;
-        const pid_t pid = processes_.at(name);
-        until("the end of " + name, [&] { return ::waitpid(pid, &status, WNOHANG) == pid; });
-        processes_.erase(name);
-        last_status = status;
-    }
-    std::string log(const std::string& name) const {
-        std::ifstream file(folder_ + "/" + name + ".log");
-        return {std::istreambuf_iterator<char>(file), {}};
+        bool ended = false;
+        processes_.end(name, signal == SIGTERM ? rig::Processes::Ending::Term : rig::Processes::Ending::Kill,
+                       loop_.now(), 20s, [&](int status) {
+                           ended = true;
+                           last_status = status;
+                       });
+        until("the end of " + name, [&] {
+            processes_.reap(loop_.now());
+            return ended;
+        });
+        CHECK(processes_.ended_alone.empty());
     }
-    void wipe(int i) { std::filesystem::remove_all(folder_ + "/core-" + std::to_string(i)); }
+    std::string log(const std::string& name) const { return processes_.log(name); }
+    void wipe(int i) { processes_.wipe("core-" + std::to_string(i)); }
 
     /// One call on a connection of its own; the endpoints of this process go on meanwhile.
-    Said call(const std::string& at, const std::string& request) {
-        Said said;
-        error_code error;
-        asio::ip::tcp::socket socket(loop_.io());
-        bool done = false;
-        std::string got;
-        std::array<char, 16384> buffer{};
-        std::function<void()> read = [&] {
-            socket.async_read_some(asio::buffer(buffer), [&](const error_code& fault, std::size_t size) {
-                got.append(buffer.data(), size);
-                if (fault) {
-                    done = true;
-                } else {
-                    read();
-                }
-            });
-        };
-        socket.async_connect(*parse_address(at), [&](const error_code& fault) {
-            if (fault) {
-                done = true;
-                return;
-            }
-            asio::async_write(socket, asio::buffer(request), [&](const error_code& broken, std::size_t) {
-                if (broken) done = true;
-            });
-            read();
-        });
-        const Time give_up = Loop::monotonic() + 8s;
-        while (!done && Loop::monotonic() < give_up) turn();
-        socket.close(error);
+    Said call(const std::string& to, const std::string& request) {
+        rig::Connection line(loop_, to);
+        std::optional<Said> said;
+        line.ask(request, 8s, [&](Said&& answer) { said = std::move(answer); });
+        while (!said) turn();
         for (int i = 0; i < 3; ++i) turn();  // what was under way sees that
-        const auto end = got.find("\r\n\r\n");
-        if (end == got.npos || got.size() < 12) return said;
-        said.status = std::atoi(got.c_str() + 9);
-        said.head = got.substr(0, end + 2);
-        said.body = got.substr(end + 4);
-        const auto length = said.head.find("Content-Length: ");
-        if (length != std::string::npos && said.body.size() != std::stoul(said.head.substr(length + 16)))
-            said.status = 0;
-        return said;
+        return *said;
     }
-    Said post(const std::string& at, const std::string& path, const std::string& body) {
-        return call(at, "POST " + path +
-                            " HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Type: "
-                            "application/json\r\nContent-Length: " +
-                            std::to_string(body.size()) + "\r\n\r\n" + body);
+    Said post(const std::string& to, const std::string& path, const std::string& body) {
+        return call(to, rig::request_of("POST", path, "x", "Content-Type: application/json\r\n", body));
     }
-    Said get(const std::string& at, const std::string& path, const std::string& more = "") {
-        return call(at,
-                    "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n" + more + "\r\n");
+    Said get(const std::string& to, const std::string& path) {
+        return call(to, rig::request_of("GET", path, "h.example"));
     }
     /// A request of a client at stall `i`.
     Said ask(int i, const std::string& path, const std::string& id, const std::string& verb = "GET") {
-        return call(side(i) + ":" + port(3),
-                    verb + " " + path + " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nAttempt-Id: " +
-                        id + "\r\nTime-Remaining: 3000\r\nApi-Key: key-1\r\n" +
-                        (verb == "POST" ? "Content-Length: 2\r\n\r\n{}" : "\r\n"));
+        return call(at(side(i), Port::Outbound),
+                    rig::request_of(verb, path, "h.example",
+                                    "Attempt-Id: " + id + "\r\nTime-Remaining: 3000\r\nApi-Key: key-1\r\n",
+                                    verb == "POST" ? "{}" : ""));
     }
     Said beat(int i, const std::string& state = "ready") {
-        return post(side(i) + ":" + port(0), "/v1/instances/" + endpoints[i]->id() + "/heartbeat",
+        return post(at(side(i), Port::Control), "/v1/instances/" + endpoints[i]->id() + "/heartbeat",
                     endpoints[i]->beat(service(i), state));
     }
     /// An operator's call, at any guildhall that answers, following the leader.
@@ -230,14 +110,14 @@
         const Time give_up = Loop::monotonic() + 20s;
         for (int round = 0; Loop::monotonic() < give_up; ++round) {
             const int i = round % 3 + 1;
-            auto said = post(core(i) + ":" + port(0), path, body);
+            auto said = post(at(core(i), Port::Control), path, body);
             if (said.status == 307) {
                 const auto at = said.head.find("Location: http://") + 17;
                 const auto to = said.head.substr(at, said.head.find('/', at) - at);
                 said = post(to, path, body);
                 if (said.status == 200) led_by = to;
             } else if (said.status == 200) {
-                led_by = core(i) + ":" + port(0);
+                led_by = at(core(i), Port::Control);
             }
             if (said.status == 200 || said.status == 400 || said.status == 412) return said.status;
             turn();
@@ -259,41 +139,25 @@
 
     std::map<int, std::unique_ptr<Endpoint>> endpoints;
     std::multiset<std::string> ran;
+    std::map<int, std::set<std::string>> callers, tenants;  // as each endpoint was told
     std::string led_by;
     int last_status = 0;
 
   private:
-    void write(const std::string& name, const std::string& more, const std::string& ip, bool first) {
-        std::ofstream file(folder_ + "/" + name + ".toml");
-        file << "node_name = \"" << name << "\"\nrole = \"r\"\nip_address = \"" << ip
-             << "\"\nzone = \"z\"\nregion = \"r\"\n"
-             << "internal_ports = [" << port(8) << ", " << port(9) << "]\nseed_nodes = [\"" << core(1) << ":"
-             << port(0) << "\", \"" << core(2) << ":" << port(0) << "\", \"" << core(3) << ":" << port(0)
-             << "\"]\nbeat_interval_ms = 60000\nfirst_boot = " << (first ? "true" : "false")
-             << "\nactive_contracts = [\"base\", \"tenants\"]\nbounds = [\"grace_s=3\"]\nfuture_field = [1, "
-                "2]\n"
-             << more;
-    }
-    void launch(const std::string& name, const char* program) {
-        const std::string config = folder_ + "/" + name + ".toml", log = folder_ + "/" + name + ".log";
-        const pid_t pid = ::fork();
-        if (pid == 0) {
-            ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // a test that crashes leaves nobody on these ports
-            const int to = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-            ::dup2(to, 1);
-            ::dup2(to, 2);
-            for (int fd = 3; fd < 256; ++fd) ::close(fd);
-            ::setenv("MARTENFORD_CONFIG", config.c_str(), 1);
-            ::execl(program, program, static_cast<char*>(nullptr));
-            ::_exit(127);
-        }
-        processes_[name] = pid;
+    static rig::Machine machine_of(const std::string& name, const std::string& ip) {
+        rig::Machine machine;
+        machine.name = name;
+        machine.ip = ip;
+        for (int i = 1; i <= 3; ++i) machine.seeds.push_back(at(core(i), Port::Control));
+        machine.top =
+            "beat_interval_ms = 60000\nactive_contracts = [\"base\", \"tenants\"]\nbounds = "
+            "[\"grace_s=3\"]\n";
+        return machine;
     }
 
-    std::string folder_;
+    rig::Processes processes_;
     Loop loop_;
     Counters counters_;
-    std::map<std::string, pid_t> processes_;
     std::vector<std::unique_ptr<Endpoint>> past_;
 };
 
@@ -313,14 +177,14 @@
     Mesh mesh;
     // Nothing is served before a configuration has been taken; a stall that waits says so.
     mesh.until("stalls that listen",
-               [&] { return mesh.get(mesh.side(1) + ":" + mesh.port(4), "/v1/readiness").status == 503; });
+               [&] { return mesh.get(at(mesh.side(1), Port::Readiness), "/v1/readiness").status == 503; });
     REQUIRE(mesh.order("/v1/configuration/replace", config("00000003", "00000000")) == 200);
     CHECK(mesh.order("/v1/configuration/replace", config("00000003", "00000000")) == 200);
     CHECK(mesh.order("/v1/configuration/replace", config("00000004", "00000000")) == 412);
     for (int i = 1; i <= 4; ++i) mesh.until("a beat", [&] { return mesh.beat(i).status == 200; });
     for (int i = 1; i <= 4; ++i) {
         mesh.until("readiness", [&] {
-            return mesh.get(mesh.side(i) + ":" + mesh.port(4), "/v1/readiness").status == 200;
+            return mesh.get(at(mesh.side(i), Port::Readiness), "/v1/readiness").status == 200;
         });
     }
 
@@ -335,7 +199,7 @@
                 CHECK_MESSAGE(got.status == 200, when << ": " << got.head);
                 CHECK_MESSAGE(put.status == 200, when << ": " << put.head);
                 CHECK(got.body.size() == 100'000);
-                CHECK(got.head.find("Server-Seal: seal-") != std::string::npos);
+                CHECK(got.head.find("Server-Seal: i-") != std::string::npos);
                 CHECK(got.head.find("Mesh-") == std::string::npos);
                 CHECK(mesh.ran.count(order) == 1);
             }
@@ -353,21 +217,21 @@
     mesh.until("the rolls and a share of the quota at every stall", warm);
     serve(5, "calm");
     CHECK(mesh.ask(1, "/nowhere/", "n-1").status == 404);
-    CHECK(mesh.call(mesh.side(1) + ":" + mesh.port(3),
+    CHECK(mesh.call(at(mesh.side(1), Port::Outbound),
                     "GET /web/ HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nAttempt-Id: k-1\r\n\r\n")
               .status == 401);
-    CHECK(mesh.endpoints[4]->callers == std::set<std::string>{"vault", "web"});
-    CHECK(mesh.endpoints[4]->tenants == std::set<std::string>{"t-1"});
+    CHECK(mesh.callers[4] == std::set<std::string>{"vault", "web"});
+    CHECK(mesh.tenants[4] == std::set<std::string>{"t-1"});
 
     // A drain: from its acknowledgement on the others take what is new.
     REQUIRE(mesh.beat(1, "draining").status == 200);
-    const std::string drained = "seal-i-1";
+    const std::string drained = "Server-Seal: i-1\r";
     for (int k = 0; k < 20; ++k) {
         const Said got = mesh.ask(2 + k % 3, "/web/x", "drain-" + std::to_string(k));
         CHECK(got.status == 200);
         CHECK(got.head.find(drained) == std::string::npos);
     }
-    REQUIRE(mesh.post(mesh.side(1) + ":" + mesh.port(0), "/v1/instances/i-1/deregister", "").status == 200);
+    REQUIRE(mesh.post(at(mesh.side(1), Port::Control), "/v1/instances/i-1/deregister", "").status == 200);
 
     // A stall killed: what goes to its endpoint goes elsewhere; it comes back beside a new life of it.
     mesh.end("side-2", SIGKILL);
@@ -377,7 +241,7 @@
     mesh.add_endpoint(2, "i-2b");
     mesh.until("the new life's beat", [&] { return mesh.beat(2).status == 200; });
     mesh.until("traffic at the new life", [&] {
-        return mesh.ask(4, "/web/x", "back-" + std::to_string(++number)).head.find("seal-i-2b") !=
+        return mesh.ask(4, "/web/x", "back-" + std::to_string(++number)).head.find("Server-Seal: i-2b\r") !=
                std::string::npos;
     });
 
@@ -408,7 +272,7 @@
     mesh.start_core(leader, false);
     const int other = leader % 3 + 1;
     mesh.until("a read at the machine that lost its disk, or by its word", [&] {
-        const auto said = mesh.get(mesh.core(leader) + ":" + mesh.port(0), "/v1/configuration/read");
+        const auto said = mesh.get(at(mesh.core(leader), Port::Control), "/v1/configuration/read");
         return said.status == 307 || said.status == 200;
     });
     REQUIRE(
--- /dev/null
+++ b/tests/mesh/rig/play.cpp
@@ -0,0 +1,712 @@
+#include "mesh/rig/play.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <deque>
+#include <iomanip>
+#include <random>
+#include <sstream>
+
+#include "charter/described.h"
+#include "mesh/rig/link_cuts.h"
+#include "mesh/rig/processes.h"
+#include "mesh/rig/standins.h"
+
+namespace martenford::rig {
+
+namespace {
+
+using charter::Json;
+
+constexpr std::size_t kStalls = 6;
+constexpr Duration kGrace = 3s, kCatchUp = 2s;
+constexpr Duration kBeat = 500ms;
+constexpr Duration kTurn = 5ms;
+constexpr Duration kSilence = 1s;       // after which a caller goes elsewhere
+constexpr Duration kDeadline = 3s;      // of a request
+constexpr Duration kOrderGivenUp = 8s;  // an operator then goes by what it reads
+constexpr Duration kDrain = 300ms;      // an endpoint serves on for so long after it said that it leaves
+constexpr const char* kHost = "h.example";
+
+std::string hexadecimal(std::uint32_t version) {
+    std::ostringstream out;
+    out << std::hex << std::setw(8) << std::setfill('0') << version;
+    return out.str();
+}
+
+class Play;
+
+/// Sends changes one after another, as the platform's page says that operators do.
+class Operator {
+  public:
+    Operator(Play& play, int number) : play_(play), number_(number) {}
+    void go() { read(); }
+    bool idle() const { return idle_; }
+    std::size_t acknowledged = 0;
+    Duration longest{};
+
+  private:
+    struct Draft {
+        std::size_t order = 0;  // in the history
+        std::string path, body;
+        Time give_up{};
+        int tries = 0;
+    };
+    void read();
+    void change(const Read& base, const Json& document);
+    void send(std::shared_ptr<Draft> draft, Duration pause);
+    void settled(std::shared_ptr<Draft> draft, int status);
+    void send_again(std::shared_ptr<Draft> draft);
+    void later(Duration pause, std::function<void()> what);
+
+    Play& play_;
+    const int number_;
+    int changes_ = 0;
+    bool idle_ = true;
+};
+
+class Play {
+  public:
+    explicit Play(const PlayOptions& options)
+        : options_(options), random_(options.seed * 7919), cuts_(mesh_ports(), {mesh_port()}) {
+        // Each play has addresses of its own: several may go on at once.
+        const auto own = static_cast<unsigned>(::getpid());
+        net_ = "127." + std::to_string(100 + (own >> 8) % 100) + "." + std::to_string(own & 0xff) + ".";
+        borne_ = options.guildhalls >= 5 ? 2 : 1;
+        for (std::size_t i = 0; i < options.guildhalls; ++i) cores_.push_back({net_ + std::to_string(i + 1)});
+        stalls_.resize(kStalls);
+    }
+    ~Play() { stopping_ = true; }
+
+    Outcome run() {
+        begin();
+        const Time first = loop_.now();
+        FaultOptions wanted;
+        wanted.guildhalls = cores_.size();
+        wanted.stalls = kStalls;
+        wanted.borne = borne_;
+        wanted.span = options_.span;
+        wanted.catch_up = kCatchUp;
+        const std::string unable = LinkCuts::unable();
+        wanted.cuts = unable.empty();
+        if (!unable.empty()) note("links can't be cut here: " + unable);
+        for (const Fault& fault : draw_faults(options_.seed, wanted)) {
+            ++open_faults_;
+            outcome_.kinds += (outcome_.kinds.empty() ? "" : " ") + std::string(name_of(fault.kind));
+            loop_.add(first + fault.at, [this, fault] { inject(fault); });
+        }
+        run_for(options_.span);
+        until("faults that are mended", [this] { return open_faults_ == 0; });
+        const Time mended = loop_.now();
+        finish();
+        outcome_.settled = settled_at_ - mended;
+        close();
+        return std::move(outcome_);
+    }
+
+    // ---- for the operators
+
+    Loop& loop() { return loop_; }
+    History& history() { return outcome_.history; }
+    bool stopping() const { return stopping_; }
+    std::size_t below(std::size_t end) { return random_() % end; }
+    /// One of the core's machines, as a list names them that is not always up to date.
+    std::string control() { return at(cores_[below(cores_.size())].ip, Port::Control); }
+    /// A call by whoever follows 307, twice at most.
+    void call(const std::string& to, const std::string& verb, const std::string& path,
+              const std::string& body, Duration limit, std::function<void(Said&&)> done, int follows = 2) {
+        const std::uint64_t key = ++last_call_;
+        Connection& line = *(calls_[key] = std::make_unique<Connection>(loop_, to));
+        const std::string fields = body.empty() ? "" : "Content-Type: application/json\r\n";
+        line.ask(request_of(verb, path, "core", fields, body), limit,
+                 [this, key, verb, path, body, limit, done, follows](Said&& said) {
+                     loop_.add(loop_.now(), [this, key] { calls_.erase(key); });
+                     const std::string location = said.field("Location");
+                     if (said.status == 307 && follows > 0 && location.starts_with("http://")) {
+                         const auto end = location.find('/', 7);
+                         call(location.substr(7, end - 7), verb, path, body, limit, done, follows - 1);
+                     } else {
+                         done(std::move(said));
+                     }
+                 });
+    }
+
+  private:
+    struct Core {
+        std::string ip;
+        int generation = 0;
+        bool gone = false;  //: another will take its place
+    };
+    struct Stall {
+        std::unique_ptr<Endpoint> endpoint;
+        int life = 0;
+        bool draining = false, there = false;
+    };
+    struct Client {
+        std::size_t stall = 0;
+        bool keeps = false;
+        std::unique_ptr<Connection> line;
+        bool busy = false;
+    };
+
+    static int mesh_port() { return kPorts + static_cast<int>(Port::Mesh); }
+    static std::set<int> mesh_ports() { return {mesh_port(), kPorts + static_cast<int>(Port::Inbound)}; }
+    std::string core_name(std::size_t i) const {
+        return "core-" + std::to_string(i) + "-" + std::to_string(cores_[i].generation);
+    }
+    static std::string stall_name(std::size_t i) { return "stall-" + std::to_string(i); }
+    std::string stall_ip(std::size_t i) const { return net_ + std::to_string(101 + i); }
+    static std::string service_of(std::size_t stall) { return stall % 2 ? "vault" : "web"; }
+    static std::string zone_of(std::size_t machine) { return "zone-" + std::to_string(machine % 3); }
+
+    Machine machine_of(std::size_t index) {
+        Machine machine;
+        machine.zone = zone_of(index);
+        machine.region = "region";
+        machine.top =
+            "machine_class = \"m\"\nbeat_interval_ms = 500\nactive_contracts = [\"base\", \"drain\", "
+            "\"config\"]\nbounds = [\"contact_ms=3000\", \"ack_ms=5000\", \"catch_up_s=2\", "
+            "\"drain_ms=300\", \"grace_s=3\", \"config_apply_ms=2500\"]\n";
+        machine.tables =
+            "[zones]\nzone-0 = \"region\"\nzone-1 = \"region\"\nzone-2 = \"region\"\n"
+            "[fault_tolerance]\nmachines = " +
+            std::to_string(borne_) + "\nzones = 0\nregions = 0\n";
+        // The operator's list as it stands: three of it, the same at the first start.
+        std::vector<std::size_t> order(cores_.size());
+        for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
+        if (!first_boot_) {
+            for (std::size_t i = order.size(); i > 1; --i) std::swap(order[i - 1], order[below(i)]);
+        }
+        for (const std::size_t i : order) {
+            if (!cores_[i].gone && machine.seeds.size() < 3)
+                machine.seeds.push_back(at(cores_[i].ip, Port::Control));
+        }
+        return machine;
+    }
+    void start_core(std::size_t i) {
+        Machine machine = machine_of(i);
+        machine.name = core_name(i);
+        machine.ip = cores_[i].ip;
+        machine.first_boot = first_boot_;
+        machine.top += "loss_counted = true\nserves = [\"control_plane\"]\n";
+        names_.insert(machine.name);
+        processes_.start(machine);
+    }
+    void start_stall(std::size_t i) {
+        Machine machine = machine_of(i);
+        machine.name = stall_name(i);
+        machine.ip = stall_ip(i);
+        machine.first_boot = first_boot_;
+        machine.service = service_of(i);
+        machine.top += "loss_counted = false\nserves = [\"sidecar\"]\n";
+        names_.insert(machine.name);
+        processes_.start(machine);
+    }
+    void start_endpoint(std::size_t i) {
+        Stall& stall = stalls_[i];
+        if (stall.endpoint) past_.push_back(std::move(stall.endpoint));
+        const std::string id = "i-" + std::to_string(i) + "-" + std::to_string(++stall.life);
+        stall.draining = false;
+        stall.there = true;
+        stall.endpoint = std::make_unique<Endpoint>(
+            loop_, id, at(stall_ip(i), Port::App),
+            [this, id, service = service_of(i)](const Endpoint::Asked& asked) {
+                const std::string path = (service == "web" ? "/web/" : "/order/") + asked.id;
+                const std::string body = service == "web" ? "" : "order " + asked.id;
+                history().runs.push_back({asked.id, id, asked.path == path && asked.body == body});
+                Endpoint::Work work{echo_of(asked.id, id), 1ms * static_cast<int>(below(30)), false};
+                if (below(25) == 0) work.lasts = 400ms;
+                work.breaks = below(60) == 0;
+                return work;
+            },
+            counters_);
+    }
+
+    // ---- the course of it
+
+    void begin() {
+        for (std::size_t i = 0; i < cores_.size(); ++i) start_core(i);
+        for (std::size_t i = 0; i < kStalls; ++i) {
+            start_stall(i);
+            start_endpoint(i);
+            beat(i);
+        }
+        reap();
+        for (int i = 0; i < 2; ++i) {
+            operators_.push_back(std::make_unique<Operator>(*this, i));
+            operators_.back()->go();
+        }
+        until("a first configuration", [this] { return acknowledged() > 0; });
+        first_boot_ = false;
+        for (std::size_t i = 0; i < kStalls; ++i) {
+            for (const bool keeps : {false, true}) {
+                clients_.push_back({i, keeps, nullptr, false});
+            }
+        }
+        for (std::size_t i = 0; i < clients_.size(); ++i) ask(i);
+        until("service before the faults", [this] { return serves(); });
+    }
+    void finish() {
+        // Served by each stall anew, and changes taken anew.
+        served_.clear();
+        const std::size_t before = acknowledged();
+        until("service after the faults", [this] { return serves(); });
+        until("an order that is taken after the faults", [this, before] { return acknowledged() > before; });
+        settled_at_ = loop_.now();
+        stopping_ = true;
+        until("callers that rest", [this] {
+            return std::all_of(operators_.begin(), operators_.end(),
+                               [](const auto& o) { return o->idle(); }) &&
+                   std::none_of(clients_.begin(), clients_.end(), [](const auto& c) { return c.busy; });
+        });
+        // What was handed on may still run.
+        run_for(500ms);
+        read_back();
+    }
+    void read_back() {
+        bool asking = false;
+        until("the configuration that is read back", [&] {
+            if (!asking) {
+                asking = true;
+                const Time sent = loop_.now();
+                call(control(), "GET", "/v1/configuration/read", "", kSilence, [&, sent](Said&& said) {
+                    asking = false;
+                    if (said.status == 200) history().last = read_of(said, sent);
+                });
+            }
+            return history().last.status == 200;
+        });
+    }
+    void close() {
+        History& history = this->history();
+        history.ended_alone = processes_.ended_alone;
+        outcome_.violations = violations(history);
+        outcome_.violations.insert(outcome_.violations.end(), in_vain_.begin(), in_vain_.end());
+        outcome_.faults = notes_.str();
+        outcome_.acknowledged = acknowledged();
+        for (const auto& each : operators_)
+            outcome_.longest_order = std::max(outcome_.longest_order, each->longest);
+        for (const auto& [id, request] : history.requests) outcome_.served += request.status == 200;
+        if (!outcome_.violations.empty()) {
+            outcome_.logs = orders_text();
+            for (const auto& name : names_) outcome_.logs += "---- " + name + "\n" + processes_.log(name);
+        }
+        for (Stall& stall : stalls_) stall.endpoint->end();
+        run_for(kTurn);
+        clients_.clear();
+        calls_.clear();
+        past_.clear();
+        stalls_.clear();
+    }
+    std::string orders_text() const {
+        std::ostringstream out;
+        const auto ms = [this](Time time) {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(time - began_).count();
+        };
+        for (const Order& order : outcome_.history.orders) {
+            out << order.mark << " " << order.version << " on " << order.base << ":";
+            for (const Sending& sending : order.sendings)
+                out << " " << sending.status << " (" << ms(sending.sent) << " to " << ms(sending.answered)
+                    << " ms)";
+            out << "\n";
+        }
+        return out.str();
+    }
+
+  public:
+    static Read read_of(const Said& said, Time sent) {
+        Read read{sent, Loop::monotonic(), said.status, 0, {}};
+        const Json document = Json::parse(said.body, nullptr, false);
+        if (said.status != 200 || document.is_discarded()) return read;
+        read.version =
+            static_cast<std::uint32_t>(std::stoul(document.value("version", std::string("0")), nullptr, 16));
+        for (const auto& cluster : document.value("clusters", Json::array())) {
+            const auto name = cluster.value("name", std::string());
+            if (name.starts_with("mark-")) read.marks.insert(name);
+        }
+        return read;
+    }
+
+  private:
+    // ---- endpoints and clients
+
+    void beat(std::size_t i) {
+        if (stalls_.empty()) return;
+        Stall& stall = stalls_[i];
+        loop_.add(loop_.now() + kBeat, [this, i] { beat(i); });
+        if (stall.there) tell(i, [](bool) {});
+    }
+    void tell(std::size_t i, std::function<void(bool)> told) {
+        Stall& stall = stalls_[i];
+        call(
+            at(stall_ip(i), Port::Control), "POST", "/v1/instances/" + stall.endpoint->id() + "/heartbeat",
+            stall.endpoint->beat(service_of(i), stall.draining ? "draining" : "ready"), kSilence,
+            [told](Said&& said) { told(said.status / 100 == 2); }, 0);
+    }
+
+    void ask(std::size_t number) {
+        if (stopping_) return;
+        Client& client = clients_[number];
+        const bool repeatable = below(2) == 0;
+        const std::string id = (repeatable ? "r-" : "o-") + std::to_string(++last_request_);
+        history().requests[id].repeatable = repeatable;
+        if (!client.line || !client.keeps)
+            client.line = std::make_unique<Connection>(loop_, at(stall_ip(client.stall), Port::Outbound));
+        client.busy = true;
+        client.line->ask(
+            request_of(
+                repeatable ? "GET" : "POST", (repeatable ? "/web/" : "/order/") + id, kHost,
+                "Attempt-Id: " + id + "\r\nTime-Remaining: " +
+                    std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(kDeadline).count()) +
+                    "\r\n",
+                repeatable ? "" : "order " + id, client.keeps),
+            kDeadline + 500ms, [this, number, id, repeatable](Said&& said) {
+                Client& client = clients_[number];
+                client.busy = false;
+                Request& request = history().requests[id];
+                request.status = said.status;
+                request.answered_id = said.field("Attempt-Id");
+                request.seal = said.field("Server-Seal");
+                request.body = std::move(said.body);
+                auto& row = served_[{client.stall, repeatable}];
+                row = said.status == 200 ? row + 1 : 0;
+                const Duration pause = said.status == 200 ? 1ms * static_cast<int>(10 + below(40)) : 150ms;
+                loop_.add(loop_.now() + pause, [this, number] { ask(number); });
+            });
+    }
+    /// Each stall has served a few of both kinds in a row.
+    bool serves() {
+        for (std::size_t i = 0; i < kStalls; ++i) {
+            for (const bool repeatable : {false, true}) {
+                const auto row = served_.find({i, repeatable});
+                if (row == served_.end() || row->second < 3) return false;
+            }
+        }
+        return true;
+    }
+    std::size_t acknowledged() const {
+        std::size_t all = 0;
+        for (const auto& each : operators_) all += each->acknowledged;
+        return all;
+    }
+
+    // ---- faults
+
+    void inject(const Fault& fault) {
+        using enum FaultKind;
+        const std::size_t i = fault.machine;
+        note(std::string(name_of(fault.kind)) + " " + std::to_string(i) + " for " +
+             std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(fault.lasts).count()) +
+             " ms" + (fault.kind < KillAll ? " (" + core_name(i) + ")" : ""));
+        const auto mended = [this, fault] {
+            note(std::string("mended: ") + name_of(fault.kind) + " " + std::to_string(fault.machine));
+            --open_faults_;
+        };
+        const auto after = [this, fault](std::function<void()> what) {
+            loop_.add(loop_.now() + fault.lasts, std::move(what));
+        };
+        switch (fault.kind) {
+            case Kill:
+            case Wipe:
+            case TermReturn:
+                end_core(i, fault.kind == TermReturn, [this, i, fault, after, mended] {
+                    if (fault.kind == Wipe) processes_.wipe(core_name(i));
+                    after([this, i, mended] {
+                        start_core(i);
+                        mended();
+                    });
+                });
+                break;
+            case Replace:
+            case TermReplace:
+                end_core(i, fault.kind == TermReplace, [this, i, after, mended] {
+                    cores_[i].gone = true;
+                    after([this, i, mended] {
+                        ++cores_[i].generation;
+                        cores_[i].ip = net_ + std::to_string(10 + ++last_ip_);
+                        cores_[i].gone = false;
+                        start_core(i);
+                        mended();
+                    });
+                });
+                break;
+            case Freeze:
+            case StallFreeze: {
+                const std::string name = fault.kind == Freeze ? core_name(i) : stall_name(i);
+                processes_.signal(name, SIGSTOP);
+                after([this, name, mended] {
+                    processes_.signal(name, SIGCONT);
+                    mended();
+                });
+                break;
+            }
+            case CutIn:
+            case CutOut:
+            case CutBoth:
+            case StallCut: {
+                const std::string name = fault.kind == StallCut ? stall_name(i) : core_name(i);
+                if (!processes_.runs(name)) return mended();
+                const pid_t pid = processes_.pid(name);
+                cuts_.cut(pid,
+                          fault.kind == CutIn    ? LinkCuts::Way::In
+                          : fault.kind == CutOut ? LinkCuts::Way::Out
+                                                 : LinkCuts::Way::Both,
+                          processes_.pids());
+                after([this, pid, mended] {
+                    cuts_.heal(pid, processes_.pids());
+                    mended();
+                });
+                break;
+            }
+            case KillAll: {
+                std::vector<std::size_t> killed;
+                for (std::size_t core = 0; core < cores_.size(); ++core) {
+                    // One that is ending comes back, or doesn't, as its own fault says.
+                    if (!processes_.runs(core_name(core)) || ending_.contains(core)) continue;
+                    killed.push_back(core);
+                    processes_.end(core_name(core), Processes::Ending::Kill, loop_.now(), kGrace, nullptr);
+                }
+                after([this, killed, mended] {
+                    until_then([this, killed] { return none_runs(killed); },
+                               [this, killed, mended] {
+                                   for (const std::size_t core : killed) start_core(core);
+                                   mended();
+                               });
+                });
+                break;
+            }
+            case StallKill:
+                processes_.end(stall_name(i), Processes::Ending::Kill, loop_.now(), kGrace,
+                               [this, i, after, mended](int) {
+                                   after([this, i, mended] {
+                                       start_stall(i);
+                                       mended();
+                                   });
+                               });
+                break;
+            case EndpointDies:
+                stalls_[i].there = false;
+                stalls_[i].endpoint->end();
+                after([this, i, mended] {
+                    start_endpoint(i);
+                    mended();
+                });
+                break;
+            case StallTerm:
+                leave(i, loop_.now() + 2s, [this, i, after, mended] {
+                    processes_.end(stall_name(i), Processes::Ending::Term, loop_.now(), kGrace,
+                                   [this, i, after, mended](int) {
+                                       after([this, i, mended] {
+                                           start_stall(i);
+                                           start_endpoint(i);
+                                           mended();
+                                       });
+                                   });
+                });
+                break;
+        }
+    }
+    void end_core(std::size_t i, bool term, std::function<void()> ended) {
+        ending_.insert(i);
+        const auto told = [this, i, ended](int) {
+            ending_.erase(i);
+            ended();
+        };
+        if (!processes_.runs(core_name(i))) return told(0);
+        processes_.end(core_name(i), term ? Processes::Ending::Term : Processes::Ending::Kill, loop_.now(),
+                       kGrace, told);
+    }
+    bool none_runs(const std::vector<std::size_t>& cores) const {
+        return std::none_of(cores.begin(), cores.end(),
+                            [this](std::size_t i) { return processes_.runs(core_name(i)); });
+    }
+    /// An endpoint's end in order: it says so until it is heard, serves on for a while, and goes.
+    void leave(std::size_t i, Time give_up, std::function<void()> gone) {
+        stalls_[i].draining = true;
+        tell(i, [this, i, give_up, gone](bool heard) {
+            if (!heard && loop_.now() < give_up) {
+                loop_.add(loop_.now() + 100ms, [this, i, give_up, gone] { leave(i, give_up, gone); });
+                return;
+            }
+            loop_.add(loop_.now() + kDrain, [this, i, gone] {
+                call(
+                    at(stall_ip(i), Port::Control), "POST",
+                    "/v1/instances/" + stalls_[i].endpoint->id() + "/deregister", "", kSilence,
+                    [this, i, gone](Said&&) {
+                        stalls_[i].there = false;
+                        stalls_[i].endpoint->end();
+                        gone();
+                    },
+                    0);
+            });
+        });
+    }
+
+    // ---- time
+
+    void until_then(std::function<bool()> is, std::function<void()> then) {
+        if (is()) return then();
+        loop_.add(loop_.now() + kTurn, [this, is, then] { until_then(is, then); });
+    }
+    void until(const std::string& what, const std::function<bool()>& is) {
+        const Time give_up = loop_.now() + options_.patience;
+        while (!is()) {
+            if (loop_.now() > give_up) {
+                in_vain_.push_back("waited in vain for " + what);
+                return note(in_vain_.back());
+            }
+            run_for(kTurn);
+        }
+    }
+    void run_for(Duration time) {
+        loop_.add(loop_.now() + time, [this] { loop_.stop(); });
+        loop_.resume();
+        loop_.run();
+    }
+    /// Every few milliseconds, as long as this runs.
+    void reap() {
+        loop_.add(loop_.now() + kTurn, [this] { reap(); });
+        processes_.reap(loop_.now());
+        cuts_.refresh(processes_.pids());
+    }
+    void note(const std::string& what) {
+        const auto wall = std::chrono::system_clock::now();
+        const auto second = std::chrono::system_clock::to_time_t(wall);
+        const auto milli =
+            std::chrono::duration_cast<std::chrono::milliseconds>(wall.time_since_epoch()).count() % 1000;
+        notes_ << std::put_time(std::gmtime(&second), "%T") << "." << std::setw(3) << std::setfill('0')
+               << milli << " ("
+               << std::chrono::duration_cast<std::chrono::milliseconds>(loop_.now() - began_).count()
+               << " ms) " << what << "\n";
+    }
+
+    const PlayOptions options_;
+    std::mt19937_64 random_;
+    std::string net_;
+    std::size_t borne_ = 1;
+    Processes processes_;
+    LinkCuts cuts_;
+    Loop loop_;
+    Counters counters_;
+    Outcome outcome_;
+    std::vector<Core> cores_;
+    std::vector<Stall> stalls_;
+    std::vector<std::unique_ptr<Endpoint>> past_;
+    std::vector<std::unique_ptr<Operator>> operators_;
+    std::vector<Client> clients_;
+    std::map<std::pair<std::size_t, bool>, int> served_;
+    std::set<std::size_t> ending_;
+    std::map<std::uint64_t, std::unique_ptr<Connection>> calls_;
+    std::uint64_t last_call_ = 0;
+    std::vector<std::string> in_vain_;
+    std::set<std::string> names_;
+    std::ostringstream notes_;
+    std::uint64_t last_request_ = 0;
+    int last_ip_ = 0, open_faults_ = 0;
+    bool first_boot_ = true, stopping_ = false;
+    const Time began_ = Loop::monotonic();
+    Time settled_at_{};
+};
+
+// ---- operators
+
+void Operator::later(Duration pause, std::function<void()> what) {
+    play_.loop().add(play_.loop().now() + pause, std::move(what));
+}
+
+void Operator::read() {
+    if (play_.stopping()) {
+        idle_ = true;
+        return;
+    }
+    idle_ = false;
+    const Time sent = play_.loop().now();
+    play_.call(play_.control(), "GET", "/v1/configuration/read", "", kSilence, [this, sent](Said&& said) {
+        if (said.status != 200 && said.status != 404) return later(100ms, [this] { read(); });
+        Read read = Play::read_of(said, sent);
+        play_.history().reads.push_back(read);
+        change(read, said.status == 200 ? Json::parse(said.body, nullptr, false) : Json());
+    });
+}
+
+void Operator::change(const Read& base, const Json& document) {
+    Order order;
+    order.mark = "mark-" + std::to_string(number_) + "-" + std::to_string(++changes_);
+    order.base = base.version;
+    // Two operators pick the same number now and then.
+    order.version = base.version + 1 + static_cast<std::uint32_t>(play_.below(2));
+    Json body = Json::object();
+    auto draft = std::make_shared<Draft>();
+    draft->path = "/v1/configuration/replace";
+    if (base.version == 0) {
+        body = Json::parse(
+            R"({"limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,"idle_timeout_ms":15000},)"
+            R"("listeners":[{"host":"h.example","rule_set":[)"
+            R"({"name":"read","route_kind":"idempotent","target_latency_ms":800,"priority":2,"matcher":{"path_prefix":"/web/"},"route_action":{"service":"web","timeout_ms":3000,"max_attempts":3}},)"
+            R"({"name":"order","route_kind":"non_idempotent","target_latency_ms":800,"priority":1,"matcher":{"path_prefix":"/order/"},"route_action":{"service":"vault","timeout_ms":3000,"max_attempts":3}}]}],)"
+            R"("clusters":[{"name":"web"},{"name":"vault"}]})");
+        body["clusters"].push_back(Json{{"name", order.mark}});
+    } else if (play_.below(2) == 0) {
+        body = document;
+        body["clusters"].push_back(Json{{"name", order.mark}});
+    } else {
+        draft->path = "/v1/configuration/modify";
+        body["upserts"]["clusters"] = Json::array({Json{{"name", order.mark}}});
+    }
+    body["version"] = hexadecimal(order.version);
+    body["base_version"] = hexadecimal(order.base);
+    draft->body = body.dump();
+    draft->order = play_.history().orders.size();
+    draft->give_up = play_.loop().now() + kOrderGivenUp;
+    play_.history().orders.push_back(std::move(order));
+    send(std::move(draft), 50ms);
+}
+
+void Operator::send(std::shared_ptr<Draft> draft, Duration pause) {
+    const Time sent = play_.loop().now();
+    // An answer that is lost on its way: the operator is gone before it comes.
+    const Duration limit = play_.below(6) == 0 ? 1ms * static_cast<int>(1 + play_.below(20)) : kSilence;
+    ++draft->tries;
+    play_.call(
+        play_.control(), "POST", draft->path, draft->body, limit, [this, draft, sent, pause](Said&& said) {
+            const Time now = play_.loop().now();
+            const int status = said.status;
+            play_.history().orders[draft->order].sendings.push_back({sent, now, status});
+            const bool refused =
+                status == 400 || status == 409 || status == 412 || status == 413 || status == 422;
+            const bool third = status / 100 == 4 && draft->tries >= 3;
+            if (status == 200 || refused || third || now > draft->give_up || play_.stopping())
+                return settled(draft, status);
+            later(pause, [this, draft, pause] { send(draft, std::min<Duration>(400ms, pause * 17 / 10)); });
+        });
+}
+
+void Operator::settled(std::shared_ptr<Draft> draft, int status) {
+    if (status == 200) {
+        const auto& sendings = play_.history().orders[draft->order].sendings;
+        ++acknowledged;
+        longest = std::max(longest, sendings.back().answered - sendings.front().sent);
+        if (play_.below(3) == 0)
+            return later(1ms * static_cast<int>(play_.below(300)), [this, draft] { send_again(draft); });
+    }
+    later(1ms * static_cast<int>(50 + play_.below(250)), [this] { read(); });
+}
+
+/// What was acknowledged comes again, as if that had been lost.
+void Operator::send_again(std::shared_ptr<Draft> draft) {
+    const Time sent = play_.loop().now();
+    play_.call(play_.control(), "POST", draft->path, draft->body, kSilence, [this, draft, sent](Said&& said) {
+        play_.history().orders[draft->order].sendings.push_back({sent, play_.loop().now(), said.status});
+        later(100ms, [this] { read(); });
+    });
+}
+
+}  // namespace
+
+Outcome play(const PlayOptions& options) {
+    return Play(options).run();
+}
+
+}  // namespace martenford::rig
