Plays: as many disks as may be lost at once; planned work alone loses nothing

Cause: the schedules wiped one disk at a time, and a request lost around a SIGTERM was not looked for. Under the address sanitizer the read at the end wrote to a frame that was gone.

--- a/tests/mesh/plays_test.cpp
+++ b/tests/mesh/plays_test.cpp
@@ -44,11 +44,13 @@
     if (options.seed != 0) {
         options.guildhalls = from_environment("MARTENFORD_GUILDHALLS", 3 + options.seed % 3);
         options.span = 1s * from_environment("MARTENFORD_SPAN", 25);
+        options.planned = from_environment("MARTENFORD_PLANNED", 0) != 0;
         return keeps_all_rules(options);
     }
     options.span = 3s;
     for (options.guildhalls = 3; options.guildhalls <= 5; ++options.guildhalls) {
         options.seed = options.guildhalls;
+        options.planned = options.guildhalls == 4;
         keeps_all_rules(options);
     }
 }
--- a/tests/mesh/rig/faults.h
+++ b/tests/mesh/rig/faults.h
@@ -16,11 +16,13 @@
     CutIn,
     CutOut,
     CutBoth,
-    Wipe,         // killed, back with an empty disk
-    Replace,      // killed for good; another comes at a new address
-    TermReturn,   // SIGTERM, back with its disk
-    TermReplace,  // SIGTERM for good
-    KillAll,      // all of the core, back within a second
+    Wipe,               // killed, back with an empty disk
+    Replace,            // killed for good; another comes at a new address
+    TermReturn,         // SIGTERM, back with its disk
+    TermReplace,        // SIGTERM for good
+    KillAll,            // all of the core, back within a second
+    WipeBorne,          // as many disks as may be lost at once, beginning with `machine`'s
+    WipeBorneKillRest,  // and all others killed meanwhile
     // of a stall's machine
     StallKill,
     StallFreeze,
@@ -29,6 +31,13 @@
     EndpointDies  // and a new life of it comes
 };
 const char* name_of(FaultKind kind);
+/// Of the core as a whole.
+inline bool strikes_all(FaultKind kind) {
+    return kind >= FaultKind::KillAll && kind <= FaultKind::WipeBorneKillRest;
+}
+inline bool strikes_stall(FaultKind kind) {
+    return kind >= FaultKind::StallKill;
+}
 
 struct Fault {
     FaultKind kind{};
@@ -43,6 +52,7 @@
     Duration span{4s};
     Duration catch_up{2s};  // a machine that is back counts as lost for so long
     bool cuts = true;
+    bool planned = false;  // nothing but SIGTERM, its machine coming back or another for it
 };
 std::vector<Fault> draw_faults(std::uint64_t seed, const FaultOptions& options);
 
--- a/tests/mesh/rig/history.h
+++ b/tests/mesh/rig/history.h
@@ -36,10 +36,12 @@
     bool repeatable = true;
     int status = 0;  // 0: no whole answer
     std::string answered_id{}, seal{}, body{};
+    Time sent{}, ended{};
 };
 struct Run {
     std::string id, instance;
     bool intact = true;  // path and body as they were sent
+    bool broke = false;  // the endpoint gave no answer of its own to it
 };
 
 struct History {
@@ -49,6 +51,7 @@
     std::map<std::string, Request> requests;
     std::vector<Run> runs;
     std::vector<std::string> ended_alone;  // processes that nobody ended
+    bool planned = false;                  // nothing but planned work was done: nothing may be lost
 };
 
 /// The body that an endpoint answers with.
--- a/tests/mesh/rig/play.h
+++ b/tests/mesh/rig/play.h
@@ -14,6 +14,7 @@
     std::uint64_t seed = 1;
     std::size_t guildhalls = 3;  // 3 to 5; two of five may be lost at once, else one
     Duration span{4s};           // in which faults come
+    bool planned = false;        // SIGTERM alone
     Duration patience{20s};      // until all serves again after them
 };
 
