Plays see which change is in force at each stall: none goes back, no loser is served

Cause: the checker read the configuration at the guildhalls alone; what the stalls served by was not looked at. Change: each change brings a route of its own, and one request in five goes to the route of a late one. A stall that answers 404 behind what it has served in the same life, or serves a change that is not in force at the end, breaks a rule; after the faults every stall must come to serve by the newest acknowledged one.

--- a/tests/mesh/history_test.cpp
+++ b/tests/mesh/history_test.cpp
@@ -82,6 +82,18 @@
          [](History& h) {
              for (int i = 0; i < 6; ++i) h.requests["r-1" + std::to_string(i)] = {true, 404, "", "", ""};
          }},
+        {"in force and lost: mark-1-1, request m-1",
+         [](History& h) {
+             h.requests["m-1"] = {true, 200, "m-1", "i-1", echo_of("m-1", "i-1"), ms(8), ms(9), "mark-1-1"};
+             h.runs.push_back({"m-1", "i-1", true});
+         }},
+        {"stall-0 went back behind mark-1-2",
+         [](History& h) {
+             h.requests["m-1"] = {true,   200,    "m-1",      "i-1",    echo_of("m-1", "i-1"),
+                                  ms(20), ms(21), "mark-1-2", "stall-0"};
+             h.runs.push_back({"m-1", "i-1", true});
+             h.requests["m-2"] = {true, 404, "", "", "", ms(400), ms(401), "mark-1-2", "stall-0"};
+         }},
         {"lost in planned work, with 502 after 0 ms, run 1 times: o-2",
          [](History& h) {
              h.planned = true;
--- a/tests/mesh/rig/history.cpp
+++ b/tests/mesh/rig/history.cpp
@@ -11,6 +11,7 @@
 /// A connection that ends so long after the request was sent has lost it, read or not. The rule's
 /// `loss_slack_ms` is 200; a machine that is busy with other work adds to it.
 constexpr Duration kLossSlack = 1s;
+constexpr Duration kRevertSlack = 250ms;  // `revert_slack_ms`
 
 std::string name(const Order& order) {
     return order.mark + " (version " + std::to_string(order.version) + " on " + std::to_string(order.base) +
@@ -32,6 +33,7 @@
         check_refusals();
         check_reads();
         check_requests();
+        check_marks();
         for (const auto& process : history_.ended_alone) broken("ended by itself: " + process);
         return std::move(broken_);
     }
@@ -162,12 +164,41 @@
                            std::chrono::duration_cast<std::chrono::milliseconds>(request.ended - request.sent)
                                .count()) +
                        " ms, run " + std::to_string(times) + " times: " + id);
-            denied += status / 100 == 4 && status != 408 && status != 421 && status != 429;
+            denied +=
+                request.mark.empty() && status / 100 == 4 && status != 408 && status != 421 && status != 429;
         }
         if (denied > kMostDenied + history_.requests.size() / 500)
             broken(std::to_string(denied) + " proper requests were denied");
     }
 
+    /// By the routes that changes brought: which of them was in force where, and when.
+    void check_marks() {
+        std::map<std::string, std::vector<const Request*>> lives;
+        for (const auto& [id, request] : history_.requests) {
+            if (request.mark.empty()) continue;
+            if (request.status == 200 && ended_ && !history_.last.marks.contains(request.mark))
+                broken("in force and lost: " + request.mark + ", request " + id);
+            if (request.status == 200 || request.status == 404) lives[request.life].push_back(&request);
+        }
+        for (auto& [life, requests] : lives) {
+            std::sort(requests.begin(), requests.end(),
+                      [](const Request* a, const Request* b) { return a->ended < b->ended; });
+            std::uint32_t seen = 0;  // the newest version that was served
+            Time since{};
+            for (const Request* request : requests) {
+                const auto order = by_mark_.find(request->mark);
+                if (order == by_mark_.end() || !in_force(*order->second)) continue;
+                const std::uint32_t version = order->second->version;
+                if (request->status == 200 && version > seen) {
+                    seen = version;
+                    since = request->ended;
+                }
+                if (request->status == 404 && version <= seen && request->sent > since + kRevertSlack)
+                    broken(life + " went back behind " + request->mark);
+            }
+        }
+    }
+
     const History& history_;
     std::map<std::string, const Order*> by_mark_;
     std::vector<const Order*> lineage_;
--- a/tests/mesh/rig/history.h
+++ b/tests/mesh/rig/history.h
@@ -17,8 +17,8 @@
     Time sent{}, answered{};
     int status = 0;
 };
-/// A change of the configuration. It leaves a mark in the document, and whoever builds on a document keeps
-/// the marks in it: so a document names its whole lineage.
+/// A change of the configuration. It leaves a mark in the document, a route of its own, and whoever builds on
+/// a document keeps the marks in it: so a document names its whole lineage.
 struct Order {
     std::string mark;
     std::uint32_t version = 0, base = 0;
@@ -37,6 +37,8 @@
     int status = 0;  // 0: no whole answer
     std::string answered_id{}, seal{}, body{};
     Time sent{}, ended{};
+    std::string mark{};  // on the route that this change brought; empty: on one that is always there
+    std::string life{};  // of the process that it was sent to
 };
 struct Run {
     std::string id, instance;
--- a/tests/mesh/rig/play.cpp
+++ b/tests/mesh/rig/play.cpp
@@ -143,7 +143,8 @@
     };
     struct Stall {
         std::unique_ptr<Endpoint> endpoint;
-        int life = 0;
+        int life = 0;   // of its endpoint
+        int lives = 0;  // of the stall
         bool draining = false, there = false;
     };
     struct Client {
@@ -201,6 +202,7 @@
         machine.ip = stall_ip(i);
         machine.first_boot = first_boot_;
         machine.service = service_of(i);
+        ++stalls_[i].lives;
         machine.top += "loss_counted = false\nserves = [\"sidecar\"]\n";
         processes_.start(machine);
     }
@@ -213,13 +215,15 @@
         stall.endpoint = std::make_unique<Endpoint>(
             loop_, id, at(stall_ip(i), Port::App),
             [this, id, service = service_of(i)](const Endpoint::Asked& asked) {
-                const std::string path = (service == "web" ? "/web/" : "/order/") + asked.id;
-                const std::string body = service == "web" ? "" : "order " + asked.id;
+                const auto request = history().requests.find(asked.id);
+                const bool intact = request != history().requests.end() &&
+                                    asked.path == path_of(asked.id, request->second) &&
+                                    asked.body == body_of(asked.id, request->second) &&
+                                    request->second.repeatable == (service == "web");
                 Endpoint::Work work{echo_of(asked.id, id), 1ms * static_cast<int>(below(30)), false};
                 if (below(25) == 0) work.lasts = 400ms;
                 work.breaks = below(60) == 0;
-                history().runs.push_back(
-                    {asked.id, id, asked.path == path && asked.body == body, work.breaks});
+                history().runs.push_back({asked.id, id, intact, work.breaks});
                 return work;
             },
             counters_);
@@ -255,6 +259,12 @@
         const std::size_t before = acknowledged();
         until("service after the faults", [this] { return serves(); });
         until("an order that is taken after the faults", [this, before] { return acknowledged() > before; });
+        wanted_mark_ = newest_acknowledged();
+        until("the newest change at every stall", [this] {
+            for (std::size_t i = 0; i < kStalls; ++i)
+                if (!marks_seen_.contains({i, wanted_mark_})) return false;
+            return true;
+        });
         settled_at_ = loop_.now();
         stopping_ = true;
         until("callers that rest", [this] {
@@ -319,9 +329,11 @@
         if (said.status != 200 || document.is_discarded()) return read;
         read.version =
             static_cast<std::uint32_t>(std::stoul(document.value("version", std::string("0")), nullptr, 16));
-        for (const auto& cluster : document.value("clusters", Json::array())) {
-            const auto name = cluster.value("name", std::string());
-            if (name.starts_with("mark-")) read.marks.insert(name);
+        for (const auto& listener : document.value("listeners", Json::array())) {
+            for (const auto& rule : listener.value("rule_set", Json::array())) {
+                const auto name = rule.value("name", std::string());
+                if (name.starts_with("mark-")) read.marks.insert(name);
+            }
         }
         return read;
     }
@@ -346,34 +358,67 @@
     void ask(std::size_t number) {
         if (stopping_) return;
         Client& client = clients_[number];
-        const bool repeatable = below(2) == 0;
-        const std::string id = (repeatable ? "r-" : "o-") + std::to_string(++last_request_);
-        history().requests[id].repeatable = repeatable;
-        history().requests[id].sent = loop_.now();
+        const std::string id = std::to_string(++last_request_);
+        const std::size_t drawn = below(5);
+        const bool repeatable = drawn < 3;
+        Request& request = history().requests[id];
+        if (drawn == 0) request.mark = some_mark();
+        request.repeatable = repeatable;
+        request.sent = loop_.now();
+        request.life = stall_name(client.stall) + " life " + std::to_string(stalls_[client.stall].lives);
         if (!client.line || !client.keeps)
             client.line = std::make_unique<Connection>(loop_, at(stall_ip(client.stall), Port::Outbound));
         client.busy = true;
+        const auto deadline = std::chrono::duration_cast<std::chrono::milliseconds>(kDeadline).count();
         client.line->ask(
-            request_of(
-                repeatable ? "GET" : "POST", (repeatable ? "/web/" : "/order/") + id, kHost,
-                "Attempt-Id: " + id + "\r\nTime-Remaining: " +
-                    std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(kDeadline).count()) +
-                    "\r\n",
-                repeatable ? "" : "order " + id, client.keeps),
-            kDeadline + 500ms, [this, number, id, repeatable](Said&& said) {
-                Client& client = clients_[number];
-                client.busy = false;
-                Request& request = history().requests[id];
-                request.status = said.status;
-                request.ended = loop_.now();
-                request.answered_id = said.field("Attempt-Id");
-                request.seal = said.field("Server-Seal");
-                request.body = std::move(said.body);
-                auto& row = served_[{client.stall, repeatable}];
-                row = said.status == 200 ? row + 1 : 0;
-                const Duration pause = said.status == 200 ? 1ms * static_cast<int>(10 + below(40)) : 150ms;
-                loop_.add(loop_.now() + pause, [this, number] { ask(number); });
-            });
+            request_of(repeatable ? "GET" : "POST", path_of(id, request), kHost,
+                       "Attempt-Id: " + id + "\r\nTime-Remaining: " + std::to_string(deadline) + "\r\n",
+                       body_of(id, request), client.keeps),
+            kDeadline + 500ms, [this, number, id](Said&& said) { asked(number, id, std::move(said)); });
+    }
+    void asked(std::size_t number, const std::string& id, Said&& said) {
+        Client& client = clients_[number];
+        client.busy = false;
+        Request& request = history().requests[id];
+        request.status = said.status;
+        request.ended = loop_.now();
+        request.answered_id = said.field("Attempt-Id");
+        request.seal = said.field("Server-Seal");
+        request.body = std::move(said.body);
+        const bool served = said.status == 200;
+        if (request.mark.empty()) {
+            auto& row = served_[{client.stall, request.repeatable}];
+            row = served ? row + 1 : 0;
+        } else if (served) {
+            marks_seen_.insert({client.stall, request.mark});
+        }
+        const bool answered = served || said.status == 404;
+        const Duration pause = answered ? 1ms * static_cast<int>(10 + below(40)) : 150ms;
+        loop_.add(loop_.now() + pause, [this, number] { ask(number); });
+    }
+    static std::string path_of(const std::string& id, const Request& request) {
+        return (!request.mark.empty() ? "/" + request.mark
+                : request.repeatable  ? "/web"
+                                      : "/order") +
+               "/" + id;
+    }
+    static std::string body_of(const std::string& id, const Request& request) {
+        return request.repeatable ? "" : "order " + id;
+    }
+    /// One of the last changes, whether or not it was taken; the one that all must come to serve by.
+    std::string some_mark() {
+        if (!wanted_mark_.empty()) return wanted_mark_;
+        const auto& orders = history().orders;
+        return orders[orders.size() - 1 - below(std::min<std::size_t>(orders.size(), 6))].mark;
+    }
+    std::string newest_acknowledged() const {
+        const Order* newest = nullptr;
+        for (const Order& order : outcome_.history.orders) {
+            if (newest && order.version < newest->version) continue;
+            for (const Sending& sending : order.sendings)
+                if (sending.status == 200) newest = &order;
+        }
+        return newest ? newest->mark : std::string();
     }
     /// Each stall has served a few of both kinds in a row.
     bool serves() {
@@ -607,6 +652,8 @@
     std::vector<std::unique_ptr<Operator>> operators_;
     std::vector<Client> clients_;
     std::map<std::pair<std::size_t, bool>, int> served_;
+    std::set<std::pair<std::size_t, std::string>> marks_seen_;  // by stalls
+    std::string wanted_mark_;
     std::set<std::size_t> ending_;
     std::map<std::uint64_t, std::unique_ptr<Connection>> calls_;
     std::uint64_t last_call_ = 0;
@@ -646,6 +693,12 @@
     order.base = base.version;
     // Two operators pick the same number now and then.
     order.version = base.version + 1 + static_cast<std::uint32_t>(play_.below(2));
+    const Json rule = {{"name", order.mark},
+                       {"route_kind", "idempotent"},
+                       {"target_latency_ms", 800},
+                       {"priority", 2},
+                       {"matcher", {{"path_prefix", "/" + order.mark + "/"}}},
+                       {"route_action", {{"service", "web"}, {"timeout_ms", 3000}, {"max_attempts", 3}}}};
     Json body = Json::object();
     auto draft = std::make_shared<Draft>();
     draft->path = "/v1/configuration/replace";
@@ -656,13 +709,14 @@
             R"({"name":"read","route_kind":"idempotent","target_latency_ms":800,"priority":2,"matcher":{"path_prefix":"/web/"},"route_action":{"service":"web","timeout_ms":3000,"max_attempts":3}},)"
             R"({"name":"order","route_kind":"non_idempotent","target_latency_ms":800,"priority":1,"matcher":{"path_prefix":"/order/"},"route_action":{"service":"vault","timeout_ms":3000,"max_attempts":3}}]}],)"
             R"("clusters":[{"name":"web"},{"name":"vault"}]})");
-        body["clusters"].push_back(Json{{"name", order.mark}});
+        body["listeners"][0]["rule_set"].push_back(rule);
     } else if (play_.below(2) == 0) {
         body = document;
-        body["clusters"].push_back(Json{{"name", order.mark}});
+        body["listeners"][0]["rule_set"].push_back(rule);
     } else {
         draft->path = "/v1/configuration/modify";
-        body["upserts"]["clusters"] = Json::array({Json{{"name", order.mark}}});
+        body["upserts"]["listeners"] =
+            Json::array({Json{{"host", kHost}, {"rule_set", Json::array({rule})}}});
     }
     body["version"] = hexadecimal(order.version);
     body["base_version"] = hexadecimal(order.base);
