--- /dev/null
+++ b/tests/mesh/rig/faults.h
@@ -0,0 +1,59 @@
+// The faults of one play, drawn from its seed before it begins.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/scheduler.h"
+
+namespace martenford::rig {
+
+enum class FaultKind {
+    // of a guildhall's machine
+    Kill,
+    Freeze,
+    CutIn,
+    CutOut,
+    CutBoth,
+    Wipe,               // killed, back with an empty disk
+    Replace,            // killed for good; another comes at a new address
+    TermReturn,         // SIGTERM, back with its disk
+    TermReplace,        // SIGTERM for good
+    KillAll,            // all of the core, back within a second
+    WipeBorne,          // as many disks as may be lost at once, beginning with `machine`'s
+    WipeBorneKillRest,  // and all others killed meanwhile
+    // of a stall's machine
+    StallKill,
+    StallFreeze,
+    StallCut,
+    StallTerm,    // its endpoint drains and ends first; a new life of it comes
+    EndpointDies  // and a new life of it comes
+};
+const char* name_of(FaultKind kind);
+/// Of the core as a whole.
+inline bool strikes_all(FaultKind kind) {
+    return kind >= FaultKind::KillAll && kind <= FaultKind::WipeBorneKillRest;
+}
+inline bool strikes_stall(FaultKind kind) {
+    return kind >= FaultKind::StallKill;
+}
+
+struct Fault {
+    FaultKind kind{};
+    std::size_t machine = 0;
+    Duration at{};     // from the play's begin
+    Duration lasts{};  // until it is mended
+};
+
+struct FaultOptions {
+    std::size_t guildhalls = 3, stalls = 6;
+    std::size_t borne = 1;  // guildhalls that may be lost at once
+    Duration span{4s};
+    Duration catch_up{2s};  // a machine that is back counts as lost for so long
+    bool cuts = true;
+    bool planned = false;  // nothing but SIGTERM, its machine coming back or another for it
+};
+std::vector<Fault> draw_faults(std::uint64_t seed, const FaultOptions& options);
+
+}  // namespace martenford::rig
