Versions ride on the hop: a gate that knows better refuses, its caller decides anew

Cause: a caller's stall that is behind sends by a route that is gone, goes to another service, or may no longer be repeated, and the gate hands it on.

Change: Mesh-Hop carries the version of the plan. A gate with a newer one in which the route is gone, leads elsewhere, is of another kind, or whose tenant is gone refuses as never run, with Mesh-Version. The caller's stall holds the request for 0.5 s at most and plans it by that version, which its hanging polls bring; gone or not come: refused with proof. A gate that is behind has no say: it hands on for its endpoint whatever the route.

Not done: a gate that is behind fetches nothing more; its polls hang at every guildhall already.

--- a/src/quay/quay.cpp
+++ b/src/quay/quay.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kHintHolds = 300ms;                               // what a gate said of its queue
 constexpr Duration kComeBackLeast = 400ms, kComeBackSpread = 400ms;  // Retry-After of a refusal
 constexpr std::size_t kMostPrepared = 4096;
+constexpr Duration kReplanTime = 500ms;  // for the newer configuration to come: polls for it hang everywhere
 constexpr Duration kAskTime = 300ms;  // for a gate to say whether it ever handed on what a broken hop carried
 }  // namespace
 
@@ -46,6 +47,34 @@
     return it == calls_.end() ? Offer::Queue : it->second.offer;
 }
 
+void Quay::outdated(const RequestId& id) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end()) return;
+    it->second.outdated = true;
+    it->second.replanned = false;
+}
+
+void Quay::replan(const RequestId& id, std::optional<Plan> plan) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || !it->second.outdated) return;
+    Call& call = it->second;
+    call.replanned = true;
+    if (!plan) return;
+    plan->aim_end = call.plan.aim_end;
+    call.plan = *plan;
+    call.outdated = false;
+}
+
+/// By the new plan, or given up where there is none.
+void Quay::go_on_anew(Call& call) {
+    call.replanned = false;
+    if (std::exchange(call.outdated, false)) return give_up(call);
+    call.refused.clear();
+    call.offers = 0;
+    call.offer = Offer::IfFree;
+    try_send(call);
+}
+
 std::optional<Duration> Quay::asks(const RequestId& id) const {
     const auto it = calls_.find(id);
     if (it == calls_.end() || it->second.attempts.empty()) return std::nullopt;
@@ -71,7 +100,11 @@
 /// A second attempt beside one that is doubted. Guards against breaking off work that its endpoint is at: a
 /// stall that is silent to the core, or told as another life, may be busy all the same.
 void Quay::on(const loftfront::Discovered&) {
-    std::vector<RequestId> lonely;
+    std::vector<RequestId> lonely, anew;
+    for (const auto& [request, call] : calls_) {
+        if (call.open && call.held_until && call.replanned) anew.push_back(request);
+    }
+    for (const RequestId& id : anew) go_on_anew(calls_.at(id));
     for (const EndpointId id : std::exchange(withdrawn_, {})) {
         for (auto& [request, call] : calls_) {
             if (!call.open || !call.plan.repeatable) continue;
@@ -213,6 +246,12 @@
     if (call.held_until || std::any_of(call.attempts.begin(), call.attempts.end(),
                                        [](const Attempt& a) { return a.out && !a.doubted; }))
         return;
+    if (call.replanned) return go_on_anew(call);
+    if (call.outdated) {
+        call.held_until = now_ + std::min(kReplanTime, left_for_retry(call.request.deadline, now_));
+        out_->push_back(SetTimer{*call.held_until, call.number});
+        return;
+    }
     if (never_ran) return try_send(call);
     retry(call);
 }
@@ -251,7 +290,8 @@
     if (number == numbers_.end()) return;
     const auto call = calls_.find(number->second);
     if (call == calls_.end() || !call->second.held_until || now_ < *call->second.held_until) return;
-    if (call->second.open) try_send(call->second);
+    if (!call->second.open) return;
+    call->second.outdated || call->second.replanned ? go_on_anew(call->second) : try_send(call->second);
 }
 
 /// The final answer, at once: a promise where nothing can have run, with a time to come back.
--- a/src/quay/quay.h
+++ b/src/quay/quay.h
@@ -34,6 +34,7 @@
     std::int64_t max_attempts = 1;
     Time aim_end{};  ///< an answer by then earns its whole worth
     std::int64_t priority = 0;
+    std::uint32_t version = 0;  ///< of the configuration by which it was made
 };
 
 /// The gate of one endpoint.
@@ -66,6 +67,11 @@
     void hint(EndpointId id, Time now, Duration wait);
     /// How the attempt of a request that goes out now is offered.
     Offer offer(const RequestId& id) const;
+    /// A gate refuses the attempt that is out since a newer configuration than the plan's wants another: it
+    /// is held until it is planned anew, or refused.
+    void outdated(const RequestId& id);
+    /// The plan by the newer one; nothing: there is no such route any more. Goes on at the next Discovered.
+    void replan(const RequestId& id, std::optional<Plan> plan);
     /// Where what goes out now only asks whether an earlier hop to that gate was ever handed on: how long ago
     /// that hop went.
     std::optional<Duration> asks(const RequestId& id) const;
@@ -109,6 +115,7 @@
         Offer offer = Offer::IfFree;
         loftfront::Backoff backoff;
         bool open = true;
+        bool outdated = false, replanned = false;
         std::optional<Time> held_until;
         std::uint64_t number = 0;
     };
@@ -126,6 +133,7 @@
     void retry(Call& call);
     bool ask(Call& call, std::size_t attempt);
     static bool any_out(const Call& call);
+    void go_on_anew(Call& call);
     void give_up(Call& call);
     void forget_if_over(const RequestId& id);
     bool tried(const Call& call, EndpointId id) const;
--- a/src/stall/dialects.cpp
+++ b/src/stall/dialects.cpp
@@ -21,15 +21,18 @@
 constexpr char kNotExecuted[] = "Not-Executed";
 constexpr char kSeal[] = "Server-Seal";
 // On the hop alone.
-// "instance;offer;repeatable;priority;ms to its aim;kind;life". The offer is f (if a slot is free), q (or
-// wait) or a (ask): then nothing is handed on, and in place of the aim stands how many ms ago the hop went
-// that is asked for.
+// "instance;offer;repeatable;priority;ms to its aim;kind;life;version". The offer is f (if a slot is free), q
+// (or wait) or a (ask): then nothing is handed on, and in place of the aim stands how many ms ago the hop
+// went that is asked for.
 constexpr char kHop[] = "Mesh-Hop";
 constexpr char kRefused[] = "Mesh-Refused";  // the gate has not handed it on; ms that it would have waited
 constexpr char kFailed[] = "Mesh-Failed";    // it was handed on and may have run
 
 constexpr char kHopNumber = '#';  // stands between an Attempt-Id and the number of its hop
 
+constexpr char kVersion[] = "Mesh-Version";  // of the gate's configuration, which wants another answer
+
+constexpr std::size_t kMostBehind = 1024;  // requests that wait for a version, of a half second's many
 constexpr std::size_t kMostId = 128;
 constexpr std::int64_t kMostTimeMs = 24 * 3600 * 1000;
 constexpr Duration kWayBack = 20ms;    // of an answer to a client: it must be out by so much sooner
@@ -80,6 +83,16 @@
     limits_.most_header =
         static_cast<std::size_t>(std::clamp<std::int64_t>(told.max_header_bytes, 1024, 32 * 1024));
     limits_.most_body = static_cast<std::uint64_t>(told.max_body_bytes);
+    bool replanned = false;
+    for (Behind& behind : std::exchange(behind_, {})) {
+        if (charter_->version() < behind.newer) {
+            behind_.push_back(std::move(behind));
+            continue;
+        }
+        replan(behind);
+        replanned = true;
+    }
+    if (replanned && replanned_) replanned_();
 }
 
 DrainTimes OutboundFront::drain_times() const {
@@ -132,19 +145,41 @@
     request.deadline = arrived + std::chrono::milliseconds(most) -
                        std::min<Duration>(kWayBack, std::chrono::milliseconds(most) / 4);
     request.write = !route->repeatable();
-    quay::Plan plan;
-    plan.service = route->service_for(request.id);
-    plan.kind = static_cast<std::uint32_t>(
-        charter::digest(route->name, tenant ? static_cast<std::uint64_t>(tenant->priority) : 0) & 0xffffff);
-    plan.repeatable = route->repeatable();
-    plan.max_attempts = route->max_attempts;
+    quay::Plan plan = plan_for(*route, request.id, tenant);
     plan.aim_end = arrived + std::chrono::milliseconds(route->aim_ms > 0 ? route->aim_ms : most) - kWayBack;
-    plan.priority =
-        (tenant ? tenant->priority * 1000 : 0) + std::clamp<std::int64_t>(route->priority, 0, 999);
     quay_.prepare(request.id, std::move(plan));
     return request;
 }
 
+quay::Plan OutboundFront::plan_for(const charter::Route& route, const std::string& id,
+                                   const charter::Tenant* tenant) const {
+    quay::Plan plan;
+    plan.service = route.service_for(id);
+    plan.kind = static_cast<std::uint32_t>(
+        charter::digest(route.name, tenant ? static_cast<std::uint64_t>(tenant->priority) : 0) & 0xffffff);
+    plan.repeatable = route.repeatable();
+    plan.max_attempts = route.max_attempts;
+    plan.priority = (tenant ? tenant->priority * 1000 : 0) + std::clamp<std::int64_t>(route.priority, 0, 999);
+    plan.version = charter_->version();
+    return plan;
+}
+
+void OutboundFront::outdated(const HttpMessage& message, charter::Version newer) {
+    Behind behind{newer, std::string(message.field(kAttemptId)), std::string(message.field("Host")),
+                  std::string(view(message.head.target())), std::string(message.field(kTenantName))};
+    quay_.outdated(behind.id);
+    if (charter_ && charter_->version() >= newer) return replan(behind);
+    // One more than these is refused after its wait.
+    if (behind_.size() < kMostBehind) behind_.push_back(std::move(behind));
+}
+
+void OutboundFront::replan(const Behind& behind) {
+    const auto* route = charter_->route(behind.host, behind.target);
+    const auto* tenant = behind.tenant.empty() ? nullptr : charter_->tenant(behind.tenant);
+    const bool allowed = route && (behind.tenant.empty() || tenant);
+    quay_.replan(behind.id, allowed ? std::optional(plan_for(*route, behind.id, tenant)) : std::nullopt);
+}
+
 void OutboundFront::write(const Answer& answer, const RequestId&, http::response_header<>& head) {
     if (answer.kind == Answer::Kind::Served) ++figures_.served;
     if (answer.kind == Answer::Kind::Refused) ++figures_.refused;
@@ -174,7 +209,8 @@
                        std::to_string(plan ? plan->priority : 0) + ";" +
                        std::to_string(std::max<std::int64_t>(0, asks ? millis(*asks) + 1 : millis(aim))) +
                        ";" + std::to_string(plan ? plan->kind : 0) + ";" +
-                       std::to_string(gate == gates_.end() ? 0 : gate->second.life));
+                       std::to_string(gate == gates_.end() ? 0 : gate->second.life) + ";" +
+                       std::to_string(plan ? plan->version : 0));
 }
 
 bool HopBack::carries_body(const HttpMessage& message) const {
@@ -188,6 +224,8 @@
     if (!head[kRefused].empty()) {
         const auto wait = whole_number(head[kRefused]);
         quay_.hint(from, loop_.now(), std::chrono::milliseconds(wait.value_or(1000)));
+        const auto newer = whole_number(head[kVersion]);
+        if (message && newer) outbound_.outdated(*message, static_cast<charter::Version>(*newer));
         return Status::Full;
     }
     if (!head[kFailed].empty()) {
@@ -208,7 +246,7 @@
     const auto parts = parts_of(view(head[kHop]));
     const auto id = head[kAttemptId];
     const auto left = whole_number(head[kTimeRemaining]);
-    if (parts.size() < 7 || id.empty() || id.size() > kMostId || !left || *left < 1 || *left > kMostTimeMs)
+    if (parts.size() < 8 || id.empty() || id.size() > kMostId || !left || *left < 1 || *left > kMostTimeMs)
         return TurnAway{http::status::bad_request};
     tollgate::Toll toll;
     toll.instance = parts[0];
@@ -232,6 +270,16 @@
         }
         return word;
     }
+    charter::Version version = 0;
+    std::from_chars(parts[7].data(), parts[7].data() + parts[7].size(), version);
+    if (decides_otherwise(head, toll, version)) {
+        return TurnAway{http::status::service_unavailable,
+                        true,
+                        {},
+                        {{kAttemptId, toll.attempt_id},
+                         {kRefused, std::to_string(std::max<std::int64_t>(1, millis(gate_.wait())))},
+                         {kVersion, std::to_string(in_force_()->version())}}};
+    }
     head.erase(kHop);
     Request request;
     // An id may come again here: each hop is a request of its own.
@@ -242,6 +290,18 @@
     return request;
 }
 
+/// Whether a newer configuration than the caller's wants it elsewhere, treated otherwise, or not at all.
+bool HopFront::decides_otherwise(const Fields& head, const tollgate::Toll& toll,
+                                 charter::Version version) const {
+    const auto* charter = in_force_();
+    if (!charter || charter->version() <= version) return false;
+    const auto* route = charter->route(view(head[http::field::host]), view(head.target()));
+    const auto tenant = view(head[kTenantName]);
+    return !route || route->repeatable() != toll.repeatable ||
+           route->service_for(toll.attempt_id) != settings_.service ||
+           (!tenant.empty() && !charter->tenant(tenant));
+}
+
 void HopFront::write(const Answer& answer, const RequestId& id, http::response_header<>& head) {
     if (pass(answer, head)) {
         // What an endpoint says is not taken for the gate's own word.
--- a/src/stall/dialects.h
+++ b/src/stall/dialects.h
@@ -31,6 +31,11 @@
                   std::function<std::size_t()> stalls)
         : settings_(settings), quay_(quay), scale_(scale), figures_(figures), stalls_(std::move(stalls)) {}
     void serve(std::shared_ptr<const charter::Charter> charter);
+    /// A gate knows a newer version in which the answer to this request differs: it is planned anew, now or
+    /// when that version is served.
+    void outdated(const HttpMessage& message, charter::Version newer);
+    /// Called once requests that waited for a version have been planned by it.
+    void on_replanned(std::function<void()> told) { replanned_ = std::move(told); }
     const charter::Charter* charter() const { return charter_.get(); }
 
     const FrontLimits& limits() const override { return limits_; }
@@ -39,6 +44,15 @@
     void write(const Answer& answer, const loftfront::RequestId& id, http::response_header<>& head) override;
 
   private:
+    /// Of a request that waits for a version.
+    struct Behind {
+        charter::Version newer = 0;
+        std::string id, host, target, tenant;
+    };
+    quay::Plan plan_for(const charter::Route& route, const std::string& id,
+                        const charter::Tenant* tenant) const;
+    void replan(const Behind& behind);
+
     const boot::Settings& settings_;
     quay::Quay& quay_;
     scales::Scale& scale_;
@@ -46,12 +60,15 @@
     std::function<std::size_t()> stalls_;
     FrontLimits limits_;
     std::shared_ptr<const charter::Charter> charter_;
+    std::vector<Behind> behind_;
+    std::function<void()> replanned_;
 };
 
 /// From the caller's stall to a gate.
 class HopBack : public BackDialect {
   public:
-    HopBack(quay::Quay& quay, Loop& loop) : quay_(quay), loop_(loop) {}
+    HopBack(quay::Quay& quay, OutboundFront& outbound, Loop& loop)
+        : quay_(quay), outbound_(outbound), loop_(loop) {}
     /// The endpoint that this id stands for, and the life of the stall beside it.
     void name(EndpointId id, const std::string& instance, std::uint64_t life) {
         gates_[id] = {instance, life};
@@ -68,6 +85,7 @@
 
   private:
     quay::Quay& quay_;
+    OutboundFront& outbound_;
     Loop& loop_;
     struct Gate {
         std::string instance;
@@ -79,9 +97,11 @@
 /// Other stalls, on `inbound`.
 class HopFront : public FrontDialect {
   public:
+    /// The configuration in force here.
+    using InForce = std::function<const charter::Charter*()>;
     /// `life` of this process: what it has handed on is known in it alone.
-    HopFront(const boot::Settings& settings, tollgate::Tollgate& gate, std::uint64_t life)
-        : settings_(settings), gate_(gate), life_(life) {
+    HopFront(const boot::Settings& settings, tollgate::Tollgate& gate, std::uint64_t life, InForce in_force)
+        : settings_(settings), gate_(gate), life_(life), in_force_(std::move(in_force)) {
         limits_.idle_time = 30s;
         limits_.most_header = 32 * 1024;
         limits_.most_body = 256u * 1024 * 1024;  // the caller's stall has held it to the configuration's
@@ -94,7 +114,10 @@
   private:
     const boot::Settings& settings_;
     tollgate::Tollgate& gate_;
+    bool decides_otherwise(const Fields& head, const tollgate::Toll& toll, charter::Version version) const;
+
     const std::uint64_t life_;
+    const InForce in_force_;
     FrontLimits limits_;
     std::uint64_t last_ = 0;
 };
--- a/src/stall/stall.cpp
+++ b/src/stall/stall.cpp
@@ -82,10 +82,10 @@
           quay_({settings.zone}, drawn()),
           gate_({settings.bounds.drain}),
           scale_({}),
-          hop_back_(quay_, loop_),
+          hop_back_(quay_, outbound_, loop_),
           endpoint_back_(gate_),
           outbound_(settings, quay_, scale_, figures_, [this] { return view_.all().size(); }),
-          inbound_(settings, gate_, life_),
+          inbound_(settings, gate_, life_, [this] { return outbound_.charter(); }),
           tally_(counters_, {}),
           gate_tally_(gate_counters_, {}),
           places_((settings.descriptors > 1200 ? settings.descriptors - 700 : settings.descriptors / 2) -
@@ -117,6 +117,7 @@
           again_(loop_) {
         engine_.start();
         gate_engine_.start();
+        outbound_.on_replanned([this] { engine_.tell({}); });
         place_.node = settings.node_name;
         place_.life = life_;
         place_.gate = text_of(*settings.inbound);
--- a/tests/mesh/hop_test.cpp
+++ b/tests/mesh/hop_test.cpp
@@ -78,3 +78,22 @@
     CHECK(ask("whole", kWhole, kWhole) == 502);
     CHECK(world.until([&] { return world.history.ran["whole"] == 1; }, 5s));
 }
+
+TEST_CASE("a gate with a newer version in which the answer differs refuses; its caller decides anew by it") {
+    World world(1, 2, "t");
+    for (const auto& gate : world.gates) gate->in_force = World::version(2, "t");
+    const auto status = [&](const std::string& id) {
+        const auto heard = world.ask_once(World::request_text(id, false));
+        return heard ? heard->status : 0;
+    };
+    // The newer version doesn't come: refused with proof.
+    CHECK(status("waits") == 503);
+    CHECK(world.history.ran["waits"] == 0);
+    // It comes while the request waits, which then goes to its new service.
+    world.loop().add(world.loop().now() + 30ms, [&] { world.serve(World::version(2, "t")); });
+    CHECK(status("moves") == 200);
+    CHECK(world.history.ran["moves"] == 1);
+    // A gate that is behind has no say.
+    world.gates[1]->in_force = World::version(1);
+    CHECK(status("later") == 200);
+}
--- a/tests/mesh/hop_world.h
+++ b/tests/mesh/hop_world.h
@@ -260,17 +260,18 @@
 
 /// A gate with its endpoint, and the relay before it.
 struct Gate {
-    Gate(Loop& loop, Random& random, History& history, const bool& trouble, const boot::Settings& settings,
+    Gate(Loop& loop, Random& random, History& history, const bool& trouble, const std::string& service,
          const std::string& instance)
         : endpoint(loop, random, history, trouble),
           toll(tollgate::Tollgate::Options{}),
           back(toll),
-          inbound(settings, toll, 7),
+          inbound(own, toll, 7, [this] { return in_force.get(); }),
           tally(counters, {}),
           to_endpoint(loop, back, back_limits(), 64, 0, counters),
           engine(loop, to_endpoint, back_limits(), std::make_unique<Lent<tollgate::Tollgate>>(toll), tally),
           front(
               loop, engine, inbound, 64, [] { return true; }, counters) {
+        own.service = service;
         engine.start();
         front.listen(*parse_address("127.0.0.1:0"));
         to_endpoint.place(loftfront::EndpointId{1}, endpoint.at(), true);
@@ -278,6 +279,8 @@
         relay = std::make_unique<Relay>(loop, random, trouble, front.listens_at());
     }
     Endpoint endpoint;
+    boot::Settings own;
+    std::shared_ptr<const charter::Charter> in_force;
     Counters counters;
     tollgate::Tollgate toll;
     stall::EndpointBack back;
@@ -291,10 +294,11 @@
 
 class World {
   public:
-    explicit World(std::uint64_t seed, int gates_wanted = 3)
+    /// The last gate's endpoint is of service `last`.
+    explicit World(std::uint64_t seed, int gates_wanted = 3, const std::string& last = "s")
         : random_(seed),
           quay_({"z"}, seed),
-          hop_back_(quay_, loop_),
+          hop_back_(quay_, outbound_, loop_),
           outbound_(settings_, quay_, scale_, figures_, [] { return std::size_t{3}; }),
           tally_(counters_, {}),
           hops_(loop_, hop_back_, back_limits(), 64, 0, counters_),
@@ -304,19 +308,22 @@
         settings_.service = "caller";
         engine_.start();
         front.listen(*parse_address("127.0.0.1:0"));
-        outbound_.serve(std::make_shared<const charter::Charter>(1, config()));
+        outbound_.on_replanned([this] { engine_.tell({}); });
+        serve(version(1));
         for (int i = 1; i <= gates_wanted; ++i) {
-            const std::string instance = "i-" + std::to_string(i);
-            gates.push_back(std::make_unique<Gate>(loop_, random_, history, trouble, settings_, instance));
+            const std::string instance = "i-" + std::to_string(i), service = i == gates_wanted ? last : "s";
+            gates.push_back(std::make_unique<Gate>(loop_, random_, history, trouble, service, instance));
             const auto id = static_cast<loftfront::EndpointId>(i);
             hop_back_.name(id, instance, 7);
             hops_.place(id, gates.back()->relay->at(), true);
-            quay_.berth(id, {"s", "z", true, false});
+            quay_.berth(id, {service, "z", true, false});
         }
     }
-    static charter::Config config() {
+    /// A configuration in which what must not run twice goes to service `once_to`.
+    static std::shared_ptr<const charter::Charter> version(charter::Version number,
+                                                           const std::string& once_to = "s") {
         charter::Config config;
-        config.clusters = {{"s", "/health", 100}};
+        config.clusters = {{"s", "/health", 100}, {"t", "/health", 100}};
         charter::Rule repeats, once;
         repeats.name = "r";
         repeats.route_kind = "idempotent";
@@ -324,11 +331,13 @@
         once.name = "o";
         once.route_kind = "non_idempotent";
         once.matcher.path_prefix = "/o/";
-        repeats.route_action = once.route_action = {"s", std::nullopt, 400, 3};
+        repeats.route_action = {"s", std::nullopt, 400, 3};
+        once.route_action = {once_to, std::nullopt, 400, 3};
         repeats.target_latency_ms = once.target_latency_ms = 300;
         config.listeners = {{"h", {repeats, once}}};
-        return config;
+        return std::make_shared<const charter::Charter>(number, config);
     }
+    void serve(std::shared_ptr<const charter::Charter> charter) { outbound_.serve(std::move(charter)); }
     static std::string request_text(const std::string& id, bool repeatable, const std::string& more = "") {
         return "POST " + std::string(repeatable ? "/r/" : "/o/") +
                "x HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id + "\r\nTime-Remaining: 350\r\n" +
