--- a/tests/mesh/rig/play.cpp
+++ b/tests/mesh/rig/play.cpp
@@ -79,7 +79,6 @@
         for (std::size_t i = 0; i < options.guildhalls; ++i) cores_.push_back({net_ + std::to_string(i + 1)});
         stalls_.resize(kStalls);
     }
-    ~Play() { stopping_ = true; }
 
     Outcome run() {
         begin();
@@ -93,7 +92,7 @@
         const std::string unable = LinkCuts::unable();
         wanted.cuts = unable.empty();
         wanted.planned = history().planned = options_.planned;
-        if (!unable.empty()) note("links can't be cut here: " + unable);
+        if (!unable.empty()) outcome_.kinds = "no link can be cut here: " + unable + ";";
         for (const Fault& fault : draw_faults(options_.seed, wanted)) {
             ++open_faults_;
             outcome_.kinds += (outcome_.kinds.empty() ? "" : " ") + std::string(name_of(fault.kind));
