--- a/tests/mesh/rig/standins.cpp
+++ b/tests/mesh/rig/standins.cpp
@@ -160,7 +160,7 @@
     open.mapped().reply(std::move(answer));
 }
 
-void Endpoint::write(const Answer& answer, http::response_header<>& head) {
+void Endpoint::write(const Answer& answer, const loftfront::RequestId&, http::response_header<>& head) {
     const auto* own = static_cast<const HttpAnswerHead*>(answer.head.get());
     if (!own) return;
     head.result(own->status);
