--- a/tests/mesh/rig/standins.h
+++ b/tests/mesh/rig/standins.h
@@ -79,7 +79,7 @@
     bool take(loftfront::Request request, std::shared_ptr<const Message> message, Reply reply) override;
     void received(const loftfront::RequestId&, Time) override {}
     void leave(const loftfront::RequestId& id) override { open_.erase(id); }
-    void write(const Answer& answer, const loftfront::RequestId& id, http::response_header<>& head) override;
+    void write(const Answer& answer, const loftfront::RequestId&, http::response_header<>& head) override;
     void answer(const loftfront::RequestId& id, const std::string& attempt, Work&& work);
 
     Loop& loop_;
