--- a/benchmarks/fleet.h
+++ b/benchmarks/fleet.h
@@ -114,6 +114,7 @@
         }
     }
     const tcp::endpoint& address() const { return process_->address(); }
+    pid_t pid() const { return process_->pid(); }
 
   private:
     inline static int started = 0;
--- a/emulator/sidecar_process.h
+++ b/emulator/sidecar_process.h
@@ -43,6 +43,7 @@
     /// Whether it has ended, by itself or killed. Reaps it then.
     bool ended();
     bool was_killed() const { return killed_; }
+    pid_t pid() const { return pid_; }
     /// Where it said that it listens; port 0: not yet.
     const Address& address() const { return address_; }
     /// Where it said that operators call.
