--- a/benchmarks/hop_benchmark.cpp
+++ b/benchmarks/hop_benchmark.cpp
@@ -209,10 +209,16 @@
 class ByteRelay : public std::enable_shared_from_this<ByteRelay> {
   public:
     ByteRelay(tcp::socket front, const Address& to) : front_(std::move(front)), back_(front_.get_executor()) {
-        back_.connect(to);
-        back_.set_option(tcp::no_delay(true));
+        error_code refused;  // the next one may not listen yet
+        back_.connect(to, refused);
+        if (refused) {
+            close();
+        } else {
+            back_.set_option(tcp::no_delay(true));
+        }
     }
     void serve() {
+        if (!back_.is_open()) return;
         pass(front_, back_, on_);
         pass(back_, front_, back_bytes_);
     }
