--- a/src/stall/stall.cpp
+++ b/src/stall/stall.cpp
@@ -85,10 +85,10 @@
           quay_({settings.zone}, drawn()),
           gate_({settings.bounds.drain}),
           scale_({}),
-          hop_back_(quay_, loop_),
+          hop_back_(quay_, outbound_, loop_),
           endpoint_back_(gate_),
           outbound_(settings, quay_, scale_, figures_, [this] { return view_.all().size(); }),
-          inbound_(settings, gate_),
+          inbound_(settings, gate_, life_, [this] { return outbound_.charter(); }),
           tally_(counters_, {}),
           gate_tally_(gate_counters_, {}),
           places_((settings.descriptors > 1200 ? settings.descriptors - 700 : settings.descriptors / 2) -
@@ -121,6 +121,7 @@
           again_(loop_) {
         engine_.start();
         gate_engine_.start();
+        outbound_.on_replanned([this] { engine_.tell({}); });
         place_.node = settings.node_name;
         place_.life = life_;
         place_.gate = text_of(*settings.inbound);
@@ -269,23 +270,22 @@
 
     void apply(const std::vector<std::string>& nodes) {
         using Kind = quay::Berths::Step::Kind;
+        bool withdrawn = false;
         for (const auto& step : berths_.apply(view_, nodes)) {
             if (step.kind == Kind::Withdraw) {
-                withdraw(step.id);
+                quay_.withdraw(step.id);
+                withdrawn = true;
             } else if (step.kind == Kind::Remove) {
                 hops_.remove(step.id);
                 hop_back_.forget(step.id);
                 quay_.remove(step.id);
             } else if (const auto at = parse_address(step.gate)) {
-                hop_back_.name(step.id, step.instance);
+                hop_back_.name(step.id, step.instance, step.life);
                 hops_.place(step.id, *at, true);
                 quay_.berth(step.id, step.berth);
             }
         }
-    }
-    /// What is out at a stall that is gone or silent, and may be repeated, goes elsewhere.
-    void withdraw(EndpointId id) {
-        for (const auto& [request, attempt] : quay_.stranded(id)) engine_.cancel(request, attempt);
+        if (withdrawn) engine_.tell({});
     }
 
     // ---- the endpoint beside it
@@ -447,6 +447,7 @@
     void drain() {
         if (std::exchange(stopping_, true)) return;
         ring(Event::Stopping, "stopping");
+        quay_.drain();
         // Its endpoint, if it is still there, is used on while clients leave.
         again_.set(loop_.now() + settings_.bounds.grace / 4, [this] { gone("stopping"); });
         const auto done = [this] {
