tools/hollow: the control plane's load by its size, from hollow stalls

Hollow stalls hold the stall's own rolls, berths, scales, charter and connections, without requests; many in one process, beside real guildhalls on loopback.

--- /dev/null
+++ b/tests/mesh/hollow_test.cpp
@@ -0,0 +1,93 @@
+// The measuring tool: what it makes of figures, the configurations that it puts, and that a hollow stall says
+// to a guildhall what a stall says.
+#include <doctest/doctest.h>
+
+#include <cmath>
+
+#include "charter/charter.h"
+#include "figures.h"
+#include "hollow_stall.h"
+
+using namespace martenford;
+using namespace martenford::hollow;
+
+TEST_CASE("slopes, quantiles and tables are those of their points") {
+    const auto squared = slope({{10, 200}, {20, 800}, {40, 3200}, {0, 7}, {80, 0}});
+    REQUIRE(squared);
+    CHECK(squared->power == doctest::Approx(2));
+    CHECK(squared->last_rise == doctest::Approx(120));
+    CHECK_FALSE(slope({{10, 1}, {0, 5}}));
+    CHECK_FALSE(slope({{10, 1}, {10, 2}}));
+    CHECK(quantile({4, 1, 3, 2}, 0.5) == doctest::Approx(2.5));
+    CHECK(quantile({4, 1, 3, 2}, 1) == 4);
+    CHECK(std::isnan(median({})));
+    const Table table{{"a", "long"}, {{"100", "1"}, {"2", cell(std::nan(""))}}};
+    CHECK(table.text() == "  a  long\n100     1\n  2     -\n");
+    CHECK(table.tsv(false) == "100\t1\n2\t-\n");
+}
+
+TEST_CASE("the configurations that are put have the size that was asked for, and differ") {
+    const Shape shape{71, 100, 12};
+    const auto read = charter::read_config(charter::Json::parse(configuration(shape, 2, 1)));
+    const auto* config = std::get_if<charter::Config>(&read);
+    REQUIRE(config);
+    std::size_t routes = 0;
+    for (const auto& listener : config->listeners) routes += listener.rule_set.size();
+    CHECK(routes == 100);
+    CHECK(config->clusters.size() == 71);
+    CHECK(config->tenants.size() == 12);
+    CHECK(config->listeners[0].rule_set[0].route_action.timeout_ms !=
+          std::get<charter::Config>(charter::read_config(charter::Json::parse(configuration(shape, 3, 2))))
+              .listeners[0]
+              .rule_set[0]
+              .route_action.timeout_ms);
+}
+
+TEST_CASE(
+    "a hollow stall announces itself, polls, fetches a newer configuration and shows that it serves by it") {
+    Loop loop;
+    const Address at = *parse_address("127.0.93.1:21790");  // no other test listens here
+    std::vector<std::shared_ptr<passage::Channel>> channels;
+    std::vector<passage::Poll> polls;
+    std::set<std::uint32_t> told;  // versions, by its announcements
+    passage::Listener listener(loop, at, [&](std::shared_ptr<passage::Channel> channel) {
+        channels.push_back(channel);
+        channel->start(
+            [&, channel = channel.get()](passage::Message&& message) {
+                if (const auto* announce = std::get_if<passage::Announce>(&message)) {
+                    CHECK(announce->place.service == "web");
+                    CHECK(announce->place.state == rolls::State::Ready);
+                    if (announce->version == 7) CHECK(announce->demands.size() == 2);
+                    told.insert(announce->version);
+                    channel->send(passage::Grants{1, {}, true, 1});
+                } else if (const auto* poll = std::get_if<passage::Poll>(&message)) {
+                    polls.push_back(*poll);
+                    passage::News news;
+                    news.rolls = {5, polls.size(), polls.size() == 1, {}, {}};
+                    rolls::Place place;
+                    place.node = "other";
+                    place.life = 1;
+                    if (polls.size() == 1) news.rolls.places.push_back(place);
+                    news.version = 7;
+                    news.in_touch = true;
+                    if (poll->wants_config) news.config = configuration({3, 3, 2}, 7, 0);
+                    if (poll->version < 7) channel->send(news);
+                }
+                if (told.contains(7)) loop.stop();
+            },
+            [] {});
+    });
+    Gauge gauge;
+    HollowStall stall(loop, {"stall-1", "127.0.94.1:1", "web", "zone-1", {at}, {}}, gauge);
+    loop.add(loop.now() + 5s, [&] { loop.stop(); });
+    loop.run();
+    REQUIRE(polls.size() >= 3);  // it has nothing; it is told of a version and wants it; it has it
+    CHECK(polls[0].version == 0);
+    CHECK_FALSE(polls[0].wants_config);
+    CHECK(polls[1].wants_config);
+    CHECK(polls[1].epoch == 5);
+    CHECK(polls[2].version == 7);
+    CHECK(gauge.version == 7);
+    CHECK(gauge.in_touch == 1);
+    CHECK(gauge.live == 1);
+}
--- /dev/null
+++ b/tools/hollow/hollow_stall.cpp
@@ -0,0 +1,186 @@
+#include "hollow_stall.h"
+
+#include <algorithm>
+#include <random>
+
+namespace martenford::hollow {
+
+namespace {
+
+// As in src/stall/stall.cpp.
+constexpr Duration kTick = 100ms;
+constexpr Duration kAnnounce = 500ms;
+constexpr Duration kGuildhallSilent = 2200ms;
+constexpr Duration kForgetGuildhall = 20s;
+constexpr std::size_t kMostGuildhalls = 32;
+
+std::uint64_t drawn() {
+    static std::mt19937_64 random{std::random_device{}()};
+    return random() | 1;
+}
+
+}  // namespace
+
+HollowStall::HollowStall(Loop& loop, const Options& options, Gauge& gauge)
+    : loop_(loop),
+      options_(options),
+      gauge_(gauge),
+      quay_(quay::Quay::Options{options.zone}, drawn()),
+      scale_({}),
+      ticker_(loop) {
+    place_.node = options.node;
+    place_.life = drawn();
+    place_.gate = options.gate;
+    place_.service = options.service;
+    place_.zone = options.zone;
+    place_.slots = 4;
+    replace_endpoint();
+    for (const Address& seed : options.guildhalls) dial(text_of(seed));
+    ticker_.set(loop_.now() + options.first_tick, [this] { tick(); });
+}
+
+void HollowStall::end_endpoint() {
+    place_.state = rolls::State::Absent;
+    place_.instance.clear();
+    ++place_.seq;
+    announce();
+}
+
+void HollowStall::replace_endpoint() {
+    place_.state = rolls::State::Ready;
+    place_.instance = options_.node + "-" + std::to_string(++endpoints_);
+    ++place_.seq;
+    announce();
+}
+
+void HollowStall::dial(const std::string& address) {
+    if (const auto known = guildhalls_.find(address); known != guildhalls_.end()) {
+        known->second.named = loop_.now();
+        return;
+    }
+    const auto to = parse_address(address);
+    if (!to || guildhalls_.size() >= kMostGuildhalls) return;
+    Guildhall& guildhall = guildhalls_[address];
+    guildhall.named = guildhall.answered = loop_.now();
+    guildhall.dialer = std::make_unique<passage::Dialer>(
+        loop_, *to, [this, address](passage::Message&& message) { heard(address, std::move(message)); },
+        [this, address] {
+            Guildhall& up = guildhalls_.at(address);
+            up.answered = loop_.now();
+            announce_to(up);
+            poll(up);
+        },
+        [this, address] { lost(address); });
+}
+
+void HollowStall::lost(const std::string& address) {
+    Guildhall& guildhall = guildhalls_.at(address);
+    guildhall.in_touch = false;
+    guildhall.taken = 0;
+    show_touch();
+    apply(view_.lost(address));
+}
+
+void HollowStall::poll(Guildhall& guildhall) {
+    guildhall.dialer->send(passage::Poll{guildhall.epoch, guildhall.seq, version_, guildhall.wants});
+}
+
+void HollowStall::announce_to(Guildhall& guildhall) {
+    if (const Time now = loop_.now(); now - demanded_ >= kAnnounce / 2) {
+        demanded_ = now;
+        std::vector<std::string> tenants;
+        if (charter_) {
+            for (const auto& tenant : charter_->tenants())
+                if (tenant.rate_per_s > 0) tenants.push_back(tenant.name);
+        }
+        demands_ = scale_.demands(now, tenants);
+    }
+    guildhall.dialer->send(passage::Announce{place_, demands_, guildhall.taken, version_});
+}
+
+void HollowStall::announce() {
+    announced_ = loop_.now();
+    for (auto& [address, guildhall] : guildhalls_) announce_to(guildhall);
+}
+
+void HollowStall::heard(const std::string& address, passage::Message&& message) {
+    const Time now = loop_.now();
+    Guildhall& guildhall = guildhalls_.at(address);
+    if (auto* grants = std::get_if<passage::Grants>(&message)) {
+        guildhall.taken = grants->number;
+        if (grants->leads) scale_.granted(now, grants->grants);
+    } else if (auto* news = std::get_if<passage::News>(&message)) {
+        guildhall.answered = now;
+        guildhall.in_touch = news->in_touch;
+        guildhall.epoch = news->rolls.epoch;
+        guildhall.seq = news->rolls.seq;
+        for (const auto& other : news->guildhalls) dial(other.address);
+        show_touch();
+        apply(view_.take(now, address, news->rolls));
+        if (news->version > version_ && !news->config.empty()) serve(news->version, news->config);
+        guildhall.wants = news->version > version_;
+        poll(guildhall);
+    }
+}
+
+void HollowStall::serve(std::uint32_t version, const std::string& document) {
+    const auto json = charter::Json::parse(document, nullptr, false);
+    if (json.is_discarded()) return;
+    const auto config = charter::read_config(json);
+    const auto* read = std::get_if<charter::Config>(&config);
+    if (!read) return;
+    version_ = version;
+    charter_ = std::make_shared<const charter::Charter>(version, *read);
+    gauge_.served_at_ns.store(std::chrono::nanoseconds(loop_.now().time_since_epoch()).count(),
+                              std::memory_order_relaxed);
+    gauge_.version.store(version, std::memory_order_release);
+    demanded_ = {};
+    announce();
+}
+
+void HollowStall::apply(const std::vector<std::string>& nodes) {
+    using Kind = quay::Berths::Step::Kind;
+    for (const auto& step : berths_.apply(view_, nodes)) {
+        if (step.kind == Kind::Place) quay_.berth(step.id, step.berth);
+        if (step.kind == Kind::Remove) quay_.remove(step.id);
+    }
+    for (const std::string& node : nodes) {
+        const auto known = view_.all().find(node);
+        if (known != view_.all().end() && known->second.silent) {
+            silent_.insert(node);
+        } else {
+            silent_.erase(node);
+        }
+    }
+    gauge_.live.store(static_cast<std::uint32_t>(view_.all().size() - silent_.size()),
+                      std::memory_order_relaxed);
+}
+
+void HollowStall::show_touch() {
+    const auto count = std::count_if(guildhalls_.begin(), guildhalls_.end(),
+                                     [](const auto& g) { return g.second.in_touch; });
+    gauge_.in_touch.store(static_cast<std::uint32_t>(count), std::memory_order_relaxed);
+}
+
+void HollowStall::tick() {
+    const Time now = loop_.now();
+    ticker_.set(now + kTick, [this] { tick(); });
+    if (now - announced_ >= kAnnounce) announce();
+    for (auto it = guildhalls_.begin(); it != guildhalls_.end();) {
+        Guildhall& guildhall = it->second;
+        if (guildhall.dialer->up() && now - guildhall.answered > kGuildhallSilent) {
+            guildhall.answered = now;
+            guildhall.dialer->renew();
+        }
+        const bool seed = std::any_of(options_.guildhalls.begin(), options_.guildhalls.end(),
+                                      [&](const Address& a) { return text_of(a) == it->first; });
+        if (!seed && !guildhall.dialer->up() &&
+            now - std::max(guildhall.named, guildhall.answered) > kForgetGuildhall) {
+            it = guildhalls_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+}  // namespace martenford::hollow
--- /dev/null
+++ b/tools/hollow/hollow_stall.h
@@ -0,0 +1,80 @@
+// A hollow node: the control side of a stall without its requests. The objects are the stall's own (rolls,
+// berths, scales, charter, the passage's connections); what joins them follows src/stall/stall.cpp, and a run
+// of both side by side shows whether it still does (docs/CAPACITY.md).
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "charter/charter.h"
+#include "core/loop.h"
+#include "passage/channel.h"
+#include "quay/berths.h"
+#include "quay/quay.h"
+#include "rolls/rolls.h"
+#include "scales/scales.h"
+
+namespace martenford::hollow {
+
+/// What one stall shows to the process that measures. Written by its own process alone.
+struct Gauge {
+    std::atomic<std::uint32_t> version = 0;      ///< that it serves by
+    std::atomic<std::int64_t> served_at_ns = 0;  ///< since when, by the steady clock
+    std::atomic<std::uint32_t> live = 0;         ///< places that it knows and that aren't silent
+    std::atomic<std::uint32_t> in_touch = 0;     ///< guildhalls that say that they hear the leader
+};
+
+class HollowStall {
+  public:
+    struct Options {
+        std::string node, gate, service, zone;
+        std::vector<Address> guildhalls;  ///< the seeds' own addresses
+        Duration first_tick{};            ///< so that many in one process don't tick together
+    };
+    HollowStall(Loop& loop, const Options& options, Gauge& gauge);
+    /// The endpoint beside it ends; another is there from replace() on.
+    void end_endpoint();
+    void replace_endpoint();
+    std::uint32_t version() const { return version_; }
+
+  private:
+    struct Guildhall {
+        std::unique_ptr<passage::Dialer> dialer;
+        std::uint64_t epoch = 0, seq = 0, taken = 0;
+        bool in_touch = false, wants = false;
+        Time answered{}, named{};
+    };
+    void dial(const std::string& address);
+    void lost(const std::string& address);
+    void poll(Guildhall& guildhall);
+    void announce_to(Guildhall& guildhall);
+    void announce();
+    void heard(const std::string& address, passage::Message&& message);
+    void serve(std::uint32_t version, const std::string& document);
+    void apply(const std::vector<std::string>& nodes);
+    void tick();
+    void show_touch();
+
+    Loop& loop_;
+    const Options options_;
+    Gauge& gauge_;
+    std::map<std::string, Guildhall> guildhalls_;
+    rolls::View view_;
+    quay::Berths berths_;
+    quay::Quay quay_;
+    scales::Scale scale_;
+    std::shared_ptr<const charter::Charter> charter_;
+    std::vector<scales::Demand> demands_;
+    std::set<std::string> silent_;
+    rolls::Place place_;
+    std::uint32_t version_ = 0, endpoints_ = 0;
+    Time announced_{}, demanded_{};
+    Timer ticker_;
+};
+
+}  // namespace martenford::hollow
