--- a/tools/hollow/main.cpp
+++ b/tools/hollow/main.cpp
@@ -34,6 +34,7 @@
 constexpr std::size_t kSeeds = 3;
 constexpr double kInForce = 15;       // s, the target
 constexpr double kPatience = 30;      // s for one event until the run goes on without it
+constexpr std::size_t kWindows = 3;   // of the idle mesh
 constexpr double kChurn = 2;          // endpoints replaced a second while that is measured: a
                                       // thousand times the target's rate, to show over the rest
 constexpr double kMemoryShare = 0.5;  // of the machine's, left untouched
@@ -150,6 +151,8 @@
     double connections = 0;
 };
 
+using Roles = std::vector<std::pair<std::string, Load>>;
+
 class Step {
   public:
     Step(const Options& options, const Size& size) : options_(options), size_(size) {
@@ -349,8 +352,8 @@
         return out;
     }
     /// By role: one leader, the median follower, a stall of each kind on average.
-    std::vector<std::pair<std::string, Load>> by_role(const Snapshot& before, const Snapshot& after) const {
-        std::vector<std::pair<std::string, Load>> out;
+    Roles by_role(const Snapshot& before, const Snapshot& after) const {
+        Roles out;
         std::vector<Load> followers, workers, real;
         for (std::size_t i = 0; i < guildhalls_.size(); ++i) {
             const Load one = load(guildhalls_[i], before, after);
@@ -363,8 +366,14 @@
         if (!followers.empty()) out.emplace_back("follower", middle(followers));
         for (std::size_t w = 0; w < numbers_.size(); ++w)
             workers.push_back(load(worker_name(w), before, after));
-        if (size_.stalls)
+        if (size_.stalls) {
             out.emplace_back("hollow stall", summed(workers, static_cast<double>(size_.stalls)));
+            // A worker near a whole core makes this tool the limit.
+            out.emplace_back("busiest worker", *std::max_element(workers.begin(), workers.end(),
+                                                                 [](const Load& a, const Load& b) {
+                                                                     return a.processor < b.processor;
+                                                                 }));
+        }
         for (const std::string& name : real_) real.push_back(load(name, before, after));
         if (!real.empty()) out.emplace_back("real stall", summed(real, static_cast<double>(real.size())));
         return out;
@@ -435,25 +444,28 @@
 /// Rows of both tables, and the phases that bring them.
 class Report {
   public:
-    void add_load(const Size& size, const std::string& phase, double s,
-                  const std::vector<std::pair<std::string, Load>>& roles) {
-        for (const auto& [role, load] : roles) {
+    /// `low` and `high`: of processor time, over the windows.
+    void add_load(const Size& size, const std::string& phase, double s, const Roles& roles, const Roles& low,
+                  const Roles& high) {
+        for (std::size_t i = 0; i < roles.size(); ++i) {
+            const auto& [role, load] = roles[i];
             auto row = start_of(size);
             for (const std::string& text : {phase, role}) row.push_back(text);
-            for (const double value : {s, load.processor / s * 100, load.memory, load.peak, load.connections,
-                                       load.in / s / 1000, load.out / s / 1000, load.core_out / s / 1000,
-                                       load.messages_in / s, load.messages_out / s, load.disk / s / 1000})
+            for (const double value :
+                 {s, load.processor / s * 100, low[i].second.processor / s * 100,
+                  high[i].second.processor / s * 100, load.memory, load.peak, load.connections,
+                  load.in / s / 1000, load.out / s / 1000, load.core_out / s / 1000, load.messages_in / s,
+                  load.messages_out / s, load.disk / s / 1000})
                 row.push_back(cell(value));
             loads.rows.push_back(row);
             const auto key =
                 std::tuple(size.shape.services, size.shape.routes, size.guildhalls, size.real > 0, role);
-            if (phase == "idle")
+            if (phase == "idle" && role != "busiest worker")
                 idle_[key].push_back({static_cast<double>(size.stalls + size.real), load, s});
         }
     }
     void add_event(const Size& size, const std::string& what, std::size_t count, double acknowledged,
-                   double p50, double most, double share,
-                   const std::vector<std::pair<std::string, Load>>& cost) {
+                   double p50, double most, double share, const Roles& cost) {
         auto row = start_of(size);
         row.push_back(what);
         for (const double value : {static_cast<double>(count), acknowledged, p50, most, share * 100})
@@ -500,10 +512,10 @@
         return out;
     }
 
-    Table loads{
-        {"stalls", "real", "guildhalls", "services", "routes", "tenants", "phase", "role", "s", "cpu%", "MB",
-         "peakMB", "conns", "in_kB/s", "out_kB/s", "core_out_kB/s", "msg_in/s", "msg_out/s", "disk_kB/s"},
-        {}};
+    Table loads{{"stalls", "real",    "guildhalls", "services",      "routes",   "tenants",   "phase",
+                 "role",   "s",       "cpu%",       "cpu_low",       "cpu_high", "MB",        "peakMB",
+                 "conns",  "in_kB/s", "out_kB/s",   "core_out_kB/s", "msg_in/s", "msg_out/s", "disk_kB/s"},
+                {}};
     Table events{{"stalls", "real", "guildhalls", "services", "routes", "tenants", "event", "n", "ack_s",
                   "p50_s", "max_s", "reached%", "leader_ms", "follower_ms", "stall_ms", "leader_out_kB",
                   "core_out_kB", "stall_in_kB", "leader_disk_kB"},
@@ -526,9 +538,7 @@
 };
 
 /// What an event cost beyond what the idle mesh spends in the same time.
-std::vector<std::pair<std::string, Load>> beyond(std::vector<std::pair<std::string, Load>> spent,
-                                                 const std::vector<std::pair<std::string, Load>>& idle,
-                                                 double idle_s, double s) {
+Roles beyond(Roles spent, const Roles& idle, double idle_s, double s) {
     for (auto& [role, load] : spent) {
         for (const auto& [name, still] : idle) {
             if (name != role) continue;
@@ -561,14 +571,34 @@
     report.add_event(size, "start", 1, first, std::nan(""), known, known_share,
                      step.by_role(start, step.snapshot()));
     bool holds = known_share == 1;
+    // Real stalls don't show what they know.
+    if (size.real > 0) step.wait(4);
     step.wait(1.5);  // leases of quotas and what the start left behind
 
-    const auto before = step.snapshot();
-    step.wait(options.window);
-    const auto after = step.snapshot();
-    const double idle_s = seconds(after.at - before.at);
-    const auto idle = step.by_role(before, after);
-    report.add_load(size, "idle", idle_s, idle);
+    // Several windows: other work on this machine disturbs one more than their median.
+    std::vector<Snapshot> marks{step.snapshot()};
+    for (std::size_t i = 0; i < kWindows; ++i) {
+        step.wait(options.window / kWindows);
+        marks.push_back(step.snapshot());
+    }
+    const double idle_s = seconds(marks.back().at - marks.front().at) / kWindows;
+    Roles idle, low, high;
+    for (std::size_t i = 0; i < kWindows; ++i) {
+        const Roles one = step.by_role(marks[i], marks[i + 1]);
+        if (i == 0) idle = low = high = one;
+        for (std::size_t role = 0; role < one.size(); ++role) {
+            const double processor = one[role].second.processor;
+            low[role].second.processor = std::min(low[role].second.processor, processor);
+            high[role].second.processor = std::max(high[role].second.processor, processor);
+        }
+    }
+    for (std::size_t role = 0; role < idle.size(); ++role) {
+        std::vector<Load> all;
+        for (std::size_t i = 0; i < kWindows; ++i)
+            all.push_back(step.by_role(marks[i], marks[i + 1])[role].second);
+        idle[role].second = Step::middle(all);
+    }
+    report.add_load(size, "idle", idle_s, idle, low, high);
 
     if (wants("configuration")) {
         std::vector<double> acknowledged, p50, most;
@@ -612,7 +642,7 @@
         const auto to = step.snapshot();
         const double s = seconds(to.at - from.at);
         const auto spent = step.by_role(from, to);
-        report.add_load(size, "churn", s, spent);
+        report.add_load(size, "churn", s, spent, spent, spent);
         report.add_event(size, "endpoint replaced", step.board().replaced - replaced, std::nan(""),
                          std::nan(""), std::nan(""), 1, beyond(spent, idle, idle_s, s));
         step.wait(0.5);
@@ -642,7 +672,8 @@
         const auto to = step.snapshot();
         // Processes started anew count from nothing, the stalls as in an idle span.
         auto cost = step.by_role(Snapshot{begun, {}, {}, {}}, to);
-        std::erase_if(cost, [](const auto& role) { return role.first.ends_with("stall"); });
+        std::erase_if(cost,
+                      [](const auto& role) { return role.first != "leader" && role.first != "follower"; });
         report.add_event(size, "all guildhalls killed, all back", 1, acknowledged, std::nan(""), s, share,
                          cost);
         say("all guildhalls killed: all back after " + cell(s) + " s (" + cell(share * 100) + "%)");
@@ -673,7 +704,7 @@
     "  --guildhalls LIST    (3)   --services LIST (71)   --routes LIST (100)   --tenants N (12)\n"
     "  --phases LIST        of idle,configuration,churn,zone,return (all; idle always)\n"
     "  --changes N          configurations put in each step (5)\n"
-    "  --seconds S          of a measured span (6)\n"
+    "  --seconds S          of a measured span, the idle one in three windows (6)\n"
     "  --most-seconds S     no step begins later (540)\n"
     "  --net A.B            first half of the loopback addresses (127.77)\n"
     "  --tsv PREFIX         rows are added to PREFIX-loads.tsv and PREFIX-events.tsv\n"
