--- a/tools/hollow/main.cpp
+++ b/tools/hollow/main.cpp
@@ -598,7 +598,8 @@
             all.push_back(step.by_role(marks[i], marks[i + 1])[role].second);
         idle[role].second = Step::middle(all);
     }
-    report.add_load(size, "idle", idle_s, idle, low, high);
+    // Figures of a mesh that never settled have no say in the slopes.
+    report.add_load(size, holds ? "idle" : "unsettled", idle_s, idle, low, high);
 
     if (wants("configuration")) {
         std::vector<double> acknowledged, p50, most;
@@ -633,7 +634,9 @@
             holds = holds && least_share == 1 && quantile(most, 1) <= kInForce;
         }
     }
-    if (wants("churn") && size.stalls) {
+    // A mesh that never settled has no more to show.
+    const bool settled = known_share == 1;
+    if (wants("churn") && size.stalls && settled) {
         const auto replaced = step.board().replaced.load();
         const auto from = step.snapshot();
         step.board().churn = kChurn;
@@ -660,7 +663,7 @@
         say("a zone lost is known after " + cell(s) + " s, back after " + cell(back) + " s");
         step.wait(0.5);
     }
-    if (wants("return")) {
+    if (wants("return") && settled) {
         step.kill_guildhalls();
         step.until([](std::size_t, const Gauge& g) { return g.in_touch == 0; }, 3);
         const auto begun = Clock::now();
