--- a/tools/hollow/main.cpp
+++ b/tools/hollow/main.cpp
@@ -118,11 +118,12 @@
         one.first_tick = std::chrono::milliseconds(random() % 500);
         stalls[i] = std::make_unique<HollowStall>(loop, one, board.gauges[i]);
     }
-    constexpr Duration kStep = 50ms, kBetween = 300ms;
+    // Rare while nothing is asked for: a stall in a process of its own would seem to wake up twice as often.
+    constexpr Duration kStep = 50ms, kLook = 500ms, kBetween = 300ms;
     double due = static_cast<double>(random() % 100) / 100;  // not all workers at once
     Timer churn(loop);
     std::function<void()> step = [&] {
-        churn.set(loop.now() + kStep, step);
+        churn.set(loop.now() + (board.churn > 0 ? kStep : kLook), step);
         due += board.churn * std::chrono::duration<double>(kStep).count() *
                static_cast<double>(numbers.size()) / static_cast<double>(size.stalls);
         for (; due >= 1; due -= 1) {
