Process tests have addresses of their own; a cut is put on the socket that was meant

Cause: mesh_day failed twice (a quota that never came) while a second mesh_day of another checkout ran on the same addresses.

--- a/tests/mesh/day_test.cpp
+++ b/tests/mesh/day_test.cpp
@@ -33,8 +33,8 @@
         endpoints.clear();  // before the loop that they listen in
         past_.clear();
     }
-    static std::string core(int i) { return "127.0.91." + std::to_string(i); }
-    static std::string side(int i) { return "127.0.92." + std::to_string(i); }
+    std::string core(int i) const { return processes_.ip(static_cast<std::size_t>(i)); }
+    std::string side(int i) const { return processes_.ip(100 + static_cast<std::size_t>(i)); }
 
     void start_core(int i, bool first) {
         rig::Machine machine = machine_of("core-" + std::to_string(i), core(i));
@@ -144,7 +144,7 @@
     int last_status = 0;
 
   private:
-    static rig::Machine machine_of(const std::string& name, const std::string& ip) {
+    rig::Machine machine_of(const std::string& name, const std::string& ip) const {
         rig::Machine machine;
         machine.name = name;
         machine.ip = ip;
--- a/tests/mesh/rig/link_cuts.cpp
+++ b/tests/mesh/rig/link_cuts.cpp
@@ -5,6 +5,7 @@
 #include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/syscall.h>
 #include <unistd.h>
 
@@ -38,6 +39,12 @@
     return static_cast<int>(::syscall(SYS_pidfd_getfd, *handle, descriptor, 0));
 }
 
+/// Guards against a number that the process has given to another socket since it was listed.
+bool is_socket(int descriptor, std::uint64_t inode) {
+    struct stat found {};
+    return descriptor >= 0 && ::fstat(descriptor, &found) == 0 && found.st_ino == inode;
+}
+
 bool drop_all(int socket, bool drop) {
     const int unused = 0;
     if (!drop) return ::setsockopt(socket, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused) == 0;
@@ -76,7 +83,8 @@
             const Descriptor own(taken_from(process, socket.descriptor));
             sockaddr_in local{}, remote{};
             socklen_t length = sizeof local;
-            if (*own < 0 || ::getsockname(*own, reinterpret_cast<sockaddr*>(&local), &length) != 0 ||
+            if (!is_socket(*own, inode) ||
+                ::getsockname(*own, reinterpret_cast<sockaddr*>(&local), &length) != 0 ||
                 local.sin_family != AF_INET || local.sin_port == 0)
                 continue;
             length = sizeof remote;
@@ -99,7 +107,7 @@
     const std::pair key{process, socket.inode};
     if (drop == filtered_.contains(key)) return;
     const Descriptor own(taken_from(process, socket.descriptor));
-    if (*own < 0) return;  // it was closed meanwhile
+    if (!is_socket(*own, socket.inode)) return;  // it was closed meanwhile
     if (!drop_all(*own, drop)) throw std::system_error(errno, std::generic_category(), "socket filter");
     if (drop) {
         filtered_.insert(key);
--- a/tests/mesh/rig/play.cpp
+++ b/tests/mesh/rig/play.cpp
@@ -72,11 +72,8 @@
   public:
     explicit Play(const PlayOptions& options)
         : options_(options), random_(options.seed * 7919), cuts_(mesh_ports(), {mesh_port()}) {
-        // Each play has addresses of its own: several may go on at once.
-        const auto own = static_cast<unsigned>(::getpid());
-        net_ = "127." + std::to_string(100 + (own >> 8) % 100) + "." + std::to_string(own & 0xff) + ".";
         borne_ = options.guildhalls >= 5 ? 2 : 1;
-        for (std::size_t i = 0; i < options.guildhalls; ++i) cores_.push_back({net_ + std::to_string(i + 1)});
+        for (std::size_t i = 0; i < options.guildhalls; ++i) cores_.push_back({processes_.ip(i + 1)});
         stalls_.resize(kStalls);
     }
 
@@ -159,7 +156,7 @@
         return "core-" + std::to_string(i) + "-" + std::to_string(cores_[i].generation);
     }
     static std::string stall_name(std::size_t i) { return "stall-" + std::to_string(i); }
-    std::string stall_ip(std::size_t i) const { return net_ + std::to_string(101 + i); }
+    std::string stall_ip(std::size_t i) const { return processes_.ip(101 + i); }
     static std::string service_of(std::size_t stall) { return stall % 2 ? "vault" : "web"; }
     static std::string zone_of(std::size_t machine) { return "zone-" + std::to_string(machine % 3); }
 
@@ -469,7 +466,7 @@
                     cores_[i].gone = true;
                     after([this, i, mended] {
                         ++cores_[i].generation;
-                        cores_[i].ip = net_ + std::to_string(10 + ++last_ip_);
+                        cores_[i].ip = processes_.ip(10 + ++last_ip_);
                         cores_[i].gone = false;
                         start_core(i);
                         mended();
@@ -638,7 +635,6 @@
 
     const PlayOptions options_;
     std::mt19937_64 random_;
-    std::string net_;
     std::size_t borne_ = 1;
     Processes processes_;
     LinkCuts cuts_;
@@ -659,7 +655,8 @@
     std::vector<std::string> in_vain_;
     std::ostringstream notes_;
     std::uint64_t last_request_ = 0;
-    int last_ip_ = 0, open_faults_ = 0;
+    std::size_t last_ip_ = 0;
+    int open_faults_ = 0;
     bool first_boot_ = true, stopping_ = false, reading_ = false;
     const Time began_ = Loop::monotonic();
     Time settled_at_{}, logs_at_{};
--- a/tests/mesh/rig/processes.h
+++ b/tests/mesh/rig/processes.h
@@ -38,6 +38,8 @@
     Processes& operator=(const Processes&) = delete;
 
     const std::string& folder() const { return folder_; }
+    /// "127.x.y.z" for these processes alone: tests may go on beside each other.
+    std::string ip(std::size_t machine) const;
     /// Writes the settings file and starts the program; a guildhall finds its disk of earlier lives.
     void start(const Machine& machine);
     bool runs(const std::string& name) const { return all_.contains(name); }
