Property test: an endpoint's two halves of an answer stay together

The stand-in's slow answer left 60 ms between its halves, in which its own surplus answer to an earlier request could be written: bytes within a body of stated length, which nobody could tell apart. The connection's other check, that answers are not written into each other, stays as it was.

Change: the slow answer holds its connection until its second half is out.

That the surplus answer was the cause follows from reading; the failing run was not traced.

--- a/tests/mesh/hop_world.h
+++ b/tests/mesh/hop_world.h
@@ -163,8 +163,11 @@
         }
         if (act == Act::Slow) {
             return write(line, whole.substr(0, whole.size() / 2), [this, line, whole] {
-                loop_.add(loop_.now() + 60ms,
-                          [this, line, whole] { say(line, whole.substr(whole.size() / 2)); });
+                line->writing = true;  // nothing else comes between its halves
+                loop_.add(loop_.now() + 60ms, [this, line, whole] {
+                    line->writing = false;
+                    say(line, whole.substr(whole.size() / 2));
+                });
             });
         }
         if (act == Act::Other) return say(line, served_text("another") + whole);
