What ran while it might be repeated is not sent again once it may not

Cause: by review. A request that failed at one gate while its route might be repeated, and that a gate with a newer version then refused, was planned anew as one that must not run twice and sent, with an attempt that may have run behind it.

Change: it is given up without a promise.

--- a/src/quay/quay.cpp
+++ b/src/quay/quay.cpp
@@ -69,6 +69,8 @@
 void Quay::go_on_anew(Call& call) {
     call.replanned = false;
     if (std::exchange(call.outdated, false)) return give_up(call);
+    // What was sent while it might be repeated is not sent again once it may not.
+    if (!call.plan.repeatable && (call.ran > 0 || any_out(call))) return give_up(call);
     call.refused.clear();
     call.offers = 0;
     call.offer = Offer::IfFree;
--- a/tests/mesh/quay_test.cpp
+++ b/tests/mesh/quay_test.cpp
@@ -204,6 +204,32 @@
     }
 }
 
+TEST_CASE("what ran while it might be repeated is not sent again by a newer version in which it may not") {
+    for (const bool ran : {true, false}) {
+        CAPTURE(ran);
+        Desk desk;
+        desk.gates(3);
+        desk.ask("a", true);
+        AttemptNumber last = 0;
+        auto send = desk.next<Send>();
+        if (ran) {
+            desk.end("a", last++, send->endpoint, Status::Reset);
+            const auto timer = desk.next<SetTimer>();
+            desk.now = timer->at;
+            desk.handle(TimerFired{timer->token});
+            send = desk.next<Send>();
+        }
+        desk.quay.outdated("a");
+        Plan plan = *desk.quay.plan("a");
+        plan.repeatable = false;
+        desk.quay.replan("a", plan);
+        desk.end("a", last, send->endpoint, Status::Full);
+        REQUIRE(desk.out.size() == 1);
+        CHECK(std::holds_alternative<Fail>(desk.out.front()) == ran);
+        CHECK(std::holds_alternative<Send>(desk.out.front()) == !ran);
+    }
+}
+
 TEST_CASE("two choices: of two random gates the one with fewer own calls out") {
     Desk desk;
     desk.gates(6);
