--- a/tests/mesh/members_test.cpp
+++ b/tests/mesh/members_test.cpp
@@ -8,7 +8,6 @@
 
 #include "moot/moot.h"
 #include "scales/scales.h"
-#include "stall/intake.h"
 
 using namespace martenford;
 using namespace martenford::moot;
@@ -279,16 +278,3 @@
     CHECK(held(late, read + 1s) == 0);
     CHECK(held(prompt, asked) == 2600);
 }
-
-TEST_CASE("a stall with no configuration waits for a guildhall that hears a leader, but not for long") {
-    stall::VersionIntake intake(400ms);
-    const Time start{5s};
-    CHECK_FALSE(intake.takes(start, 0, 3, false));  // cut off with an old version
-    CHECK(intake.takes(start + 20ms, 0, 7, true));
-    CHECK_FALSE(intake.takes(start + 30ms, 7, 3, true));  // never back
-    CHECK(intake.takes(start + 30ms, 7, 8, false));       // what was committed once may always be gone by
-    stall::VersionIntake alone(400ms);
-    CHECK_FALSE(alone.takes(start, 0, 3, false));
-    CHECK_FALSE(alone.takes(start + 390ms, 0, 3, false));
-    CHECK(alone.takes(start + 400ms, 0, 3, false));  // nobody hears a leader: it serves by what there is
-}
