A case of its own for a gate's refusal without the request's id

Cause: of the seeded defects, "a gate's refusal is taken without its id" was found by no test: on a kept connection answers come in order.

Change: a case at the dialect.

--- a/tests/mesh/hop_test.cpp
+++ b/tests/mesh/hop_test.cpp
@@ -157,3 +157,19 @@
         CHECK(ended == 0);
     }
 }
+
+TEST_CASE("a gate's refusal without the request's id is no proof for it") {
+    World world(1, 1);
+    http::request<PieceBody> asked{http::verb::post, "/o/x", 11};
+    asked.set("Attempt-Id", "a");
+    const HttpMessage message(std::move(asked));
+    http::response_header<> word;
+    word.result(http::status::service_unavailable);
+    word.set("Mesh-Refused", "5");
+    const auto classify = [&] { return world.hop_back().classify(word, &message, loftfront::EndpointId{1}); };
+    CHECK_FALSE(classify());
+    word.set("Attempt-Id", "b");
+    CHECK_FALSE(classify());
+    word.set("Attempt-Id", "a");
+    CHECK(classify() == loftfront::Status::Full);
+}
--- a/tests/mesh/hop_world.h
+++ b/tests/mesh/hop_world.h
@@ -414,7 +414,7 @@
     }
 
     Loop& loop() { return loop_; }
-    quay::Quay& quay() { return quay_; }
+    stall::HopBack& hop_back() { return hop_back_; }
     History history;
     bool trouble = false;
 
