--- a/src/passage/messages.cpp
+++ b/src/passage/messages.cpp
@@ -3,9 +3,14 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 #include <kj/exception.h>
+#include <zstd.h>
 
 #include <algorithm>
 #include <cstring>
+#include <memory>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 #include "passage/wire.capnp.h"
 
@@ -26,9 +31,13 @@
 void put(wire::Member::Builder to, const moot::Member& from) {
     to.setId(from.id);
     to.setAddress(from.address);
+    to.setZone(from.zone);
+    to.setRegion(from.region);
+    to.setCounts(from.counts);
 }
 moot::Member get(wire::Member::Reader from) {
-    return {from.getId(), text(from.getAddress())};
+    return {from.getId(), text(from.getAddress()), text(from.getZone()), text(from.getRegion()),
+            from.getCounts()};
 }
 void put(wire::Stamp::Builder to, const moot::Stamp& from) {
     to.setTerm(from.term);
@@ -59,10 +68,12 @@
 void put(wire::Entry::Builder to, const moot::Entry& from) {
     put(to.initStamp(), from.stamp);
     put_all(to.initVoters(static_cast<unsigned>(from.voters.size())), from.voters);
+    put_all(to.initOutgoing(static_cast<unsigned>(from.outgoing.size())), from.outgoing);
     to.setValue(data(from.value));
 }
 moot::Entry get(wire::Entry::Reader from) {
-    return {get(from.getStamp()), get_all(from.getVoters()), bytes(from.getValue())};
+    return {get(from.getStamp()), get_all(from.getVoters()), bytes(from.getValue()),
+            get_all(from.getOutgoing())};
 }
 
 void put(wire::Place::Builder to, const rolls::Place& from) {
@@ -129,6 +140,11 @@
         put(out.initNewest(), from.newest);
         put(out.initCommitted(), from.committed);
         out.setRound(from.round);
+        out.setHanded(from.handed);
+        out.setLeaving(from.leaving);
+        out.setLeads(from.leads);
+        out.setAsked(from.asked);
+        out.setAsk(from.ask);
         if (from.entry) put(out.initEntry(), *from.entry);
     }
     void operator()(const Announce& from) {
@@ -137,6 +153,7 @@
         put_all(out.initDemands(static_cast<unsigned>(from.demands.size())), from.demands);
         out.setTaken(from.taken);
         out.setVersion(from.version);
+        out.setAsked(from.asked);
     }
     void operator()(const Grants& from) {
         auto out = to.initGrants();
@@ -144,6 +161,7 @@
         put_all(out.initGrants(static_cast<unsigned>(from.grants.size())), from.grants);
         out.setLeads(from.leads);
         out.setStalls(from.stalls);
+        out.setAsked(from.asked);
     }
     void operator()(const Poll& from) {
         auto out = to.initPoll();
@@ -218,17 +236,23 @@
                 out.newest = get(from.getNewest());
                 out.committed = get(from.getCommitted());
                 out.round = from.getRound();
+                out.handed = from.getHanded();
+                out.leaving = from.getLeaving();
+                out.leads = from.getLeads();
+                out.asked = from.getAsked();
+                out.ask = from.getAsk();
                 if (from.hasEntry()) out.entry = get(from.getEntry());
                 return out;
             }
             case wire::Envelope::ANNOUNCE: {
                 const auto from = in.getAnnounce();
                 return Announce{get(from.getPlace()), get_all(from.getDemands()), from.getTaken(),
-                                from.getVersion()};
+                                from.getVersion(), from.getAsked()};
             }
             case wire::Envelope::GRANTS: {
                 const auto from = in.getGrants();
-                return Grants{from.getNumber(), get_all(from.getGrants()), from.getLeads(), from.getStalls()};
+                return Grants{from.getNumber(), get_all(from.getGrants()), from.getLeads(), from.getStalls(),
+                              from.getAsked()};
             }
             case wire::Envelope::POLL: {
                 const auto from = in.getPoll();
@@ -252,27 +276,64 @@
     return message ? std::move(*message) : std::nullopt;
 }
 
+namespace {
+
+constexpr int kPackLevel =
+    3;  // zstd's own default: 3 ms for a megabyte; the next ones cost more than they save
+
+std::string packed(const std::string& from) {
+    std::string to(ZSTD_compressBound(from.size()), '\0');
+    const std::size_t size = ZSTD_compress(to.data(), to.size(), from.data(), from.size(), kPackLevel);
+    to.resize(ZSTD_isError(size) ? 0 : size);
+    return to;
+}
+std::optional<std::string> unpacked(capnp::Data::Reader from) {
+    const auto size = ZSTD_getFrameContentSize(from.begin(), from.size());
+    if (size > kMostDocument) return std::nullopt;  // and the library's two error codes, which are larger
+    std::string to(size, '\0');
+    if (ZSTD_decompress(to.data(), to.size(), from.begin(), from.size()) != size) return std::nullopt;
+    return to;
+}
+
+}  // namespace
+
 std::string encode(const Word& word) {
     capnp::MallocMessageBuilder builder;
     auto out = builder.initRoot<wire::Word>();
     out.setVersion(word.version);
-    out.setDocument(data(word.document));
-    auto history = out.initHistory(static_cast<unsigned>(word.history.size()));
-    for (unsigned i = 0; i < word.history.size(); ++i) {
-        history[i].setVersion(word.history[i].version);
-        history[i].setDigest(word.history[i].digest);
+    out.setPacked(data(packed(word.document)));
+    out.setForgotten(word.forgotten);
+    const auto size = static_cast<unsigned>(word.history.size());
+    auto versions = out.initVersions(size);
+    auto digests = out.initDigests(size);
+    for (unsigned i = 0; i < size; ++i) {
+        versions.set(i, word.history[i].version);
+        digests.set(i, word.history[i].digest);
     }
     return flat(builder);
 }
 
 std::optional<Word> decode_word(std::string_view from) {
     if (from.empty()) return Word{};
-    return parsed<wire::Word>(from, [](wire::Word::Reader in) {
-        Word word{in.getVersion(), bytes(in.getDocument()), {}};
-        for (const auto taken : in.getHistory())
-            word.history.push_back({taken.getVersion(), taken.getDigest()});
+    auto word = parsed<wire::Word>(from, [](wire::Word::Reader in) -> std::optional<Word> {
+        Word word{in.getVersion(), "", {}, in.getForgotten()};
+        if (!in.hasPacked()) {  // a program before wrote it
+            word.document = bytes(in.getDocument());
+            for (const auto taken : in.getHistory())
+                word.history.push_back({taken.getVersion(), taken.getDigest()});
+            // It kept the last 500 and did not say whether there were more.
+            if (!word.history.empty()) word.forgotten = word.history.front().version - 1;
+            return word;
+        }
+        auto document = unpacked(in.getPacked());
+        const auto versions = in.getVersions();
+        const auto digests = in.getDigests();
+        if (!document || versions.size() != digests.size()) return std::nullopt;
+        word.document = std::move(*document);
+        for (unsigned i = 0; i < versions.size(); ++i) word.history.push_back({versions[i], digests[i]});
         return word;
     });
+    return word ? std::move(*word) : std::nullopt;
 }
 
 std::string encode(const moot::Disk& disk) {
@@ -293,4 +354,54 @@
     });
 }
 
+namespace {
+
+constexpr char kState[] = "state";
+constexpr char kWhole[] = "word";  // all in one record, as programs before wrote it
+
+std::string name_of(const moot::Stamp& stamp) {
+    return "value." + std::to_string(stamp.term) + "." + std::to_string(stamp.index);
+}
+/// Ties the state to the values that it was written with: one that is not of the same write is seen.
+struct Sums {
+    std::uint64_t newest = 0, committed = 0;
+    bool operator==(const Sums&) const = default;
+};
+Sums sums_of(const std::string& newest, const std::string& committed) {
+    return {XXH3_64bits(newest.data(), newest.size()), XXH3_64bits(committed.data(), committed.size())};
+}
+
+}  // namespace
+
+std::map<std::string, std::string> records_of(const moot::Disk& disk) {
+    const Sums sums = sums_of(disk.newest.value, disk.committed.value);
+    moot::Disk bare = disk;
+    bare.newest.value.clear();
+    bare.committed.value.clear();
+    return {{kState, std::string(reinterpret_cast<const char*>(&sums), sizeof sums) + encode(bare)},
+            {name_of(disk.newest.stamp), disk.newest.value},
+            {name_of(disk.committed.stamp), disk.committed.value}};
+}
+
+std::optional<moot::Disk> disk_of(const std::map<std::string, std::string>& records) {
+    const auto state = records.find(kState);
+    if (state == records.end()) {
+        const auto whole = records.find(kWhole);
+        return whole == records.end() ? std::nullopt : decode_disk(whole->second);
+    }
+    Sums sums;
+    if (state->second.size() < sizeof sums) return std::nullopt;
+    std::memcpy(&sums, state->second.data(), sizeof sums);
+    auto disk = decode_disk(std::string_view(state->second).substr(sizeof sums));
+    if (!disk) return std::nullopt;
+    const auto newest = records.find(name_of(disk->newest.stamp));
+    const auto committed = records.find(name_of(disk->committed.stamp));
+    if (newest == records.end() || committed == records.end() ||
+        sums_of(newest->second, committed->second) != sums)
+        return std::nullopt;
+    disk->newest.value = newest->second;
+    disk->committed.value = committed->second;
+    return disk;
+}
+
 }  // namespace martenford::passage
--- a/src/quay/quay.cpp
+++ b/src/quay/quay.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kHintHolds = 300ms;                               // what a gate said of its queue
 constexpr Duration kComeBackLeast = 400ms, kComeBackSpread = 400ms;  // Retry-After of a refusal
 constexpr std::size_t kMostPrepared = 4096;
+constexpr Duration kReplanTime = 500ms;  // for the newer configuration to come: polls for it hang everywhere
+constexpr Duration kAskTime = 300ms;  // for a gate to say whether it ever handed on what a broken hop carried
 }  // namespace
 
 void Quay::prepare(const RequestId& id, Plan plan) {
@@ -45,6 +47,47 @@
     return it == calls_.end() ? Offer::Queue : it->second.offer;
 }
 
+void Quay::outdated(const RequestId& id) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end()) return;
+    it->second.outdated = true;
+    it->second.replanned = false;
+}
+
+void Quay::replan(const RequestId& id, std::optional<Plan> plan) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || !it->second.outdated) return;
+    Call& call = it->second;
+    call.replanned = true;
+    if (!plan) return;
+    plan->aim_end = call.plan.aim_end;
+    call.plan = *plan;
+    call.outdated = false;
+}
+
+/// By the new plan, or given up where there is none.
+void Quay::go_on_anew(Call& call) {
+    call.replanned = false;
+    if (std::exchange(call.outdated, false)) return give_up(call);
+    call.refused.clear();
+    call.offers = 0;
+    call.offer = Offer::IfFree;
+    try_send(call);
+}
+
+std::optional<Duration> Quay::asks(const RequestId& id) const {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || it->second.attempts.empty()) return std::nullopt;
+    const auto asked = it->second.attempts.back().asks_for;
+    if (!asked) return std::nullopt;
+    return now_ - it->second.attempts[*asked].sent;
+}
+
+void Quay::handed_on(const RequestId& id) {
+    const auto it = calls_.find(id);
+    if (it != calls_.end() && !it->second.attempts.empty()) it->second.attempts.back().handed_on = true;
+}
+
 const Plan* Quay::plan(const RequestId& id) const {
     const auto it = calls_.find(id);
     return it == calls_.end() ? nullptr : &it->second.plan;
@@ -54,16 +97,29 @@
     return std::any_of(berths_.begin(), berths_.end(), [](const auto& b) { return b.second.berth.ready; });
 }
 
-std::vector<std::pair<RequestId, AttemptNumber>> Quay::stranded(EndpointId id) const {
-    std::vector<std::pair<RequestId, AttemptNumber>> out;
+/// A second attempt beside one that is doubted. Guards against breaking off work that its endpoint is at: a
+/// stall that is silent to the core, or told as another life, may be busy all the same.
+void Quay::on(const loftfront::Discovered&) {
+    std::vector<RequestId> lonely, anew;
     for (const auto& [request, call] : calls_) {
-        if (!call.open || !call.plan.repeatable) continue;
-        for (std::size_t i = 0; i < call.attempts.size(); ++i) {
-            if (call.attempts[i].out && call.attempts[i].to == id)
-                out.emplace_back(request, static_cast<AttemptNumber>(i));
+        if (call.open && call.held_until && call.replanned) anew.push_back(request);
+    }
+    for (const RequestId& id : anew) go_on_anew(calls_.at(id));
+    for (const EndpointId id : std::exchange(withdrawn_, {})) {
+        for (auto& [request, call] : calls_) {
+            if (!call.open || !call.plan.repeatable) continue;
+            bool fresh = false;
+            for (Attempt& attempt : call.attempts) {
+                if (attempt.out && attempt.to == id && !std::exchange(attempt.doubted, true)) fresh = true;
+            }
+            const bool others = std::any_of(call.attempts.begin(), call.attempts.end(),
+                                            [](const Attempt& a) { return a.out && !a.doubted; });
+            if (fresh && !others && !call.held_until) lonely.push_back(request);
         }
     }
-    return out;
+    for (const RequestId& id : lonely) {
+        if (const auto it = calls_.find(id); it != calls_.end()) retry(it->second);
+    }
 }
 
 void Quay::handle(Time now, const loftfront::Event& event, std::vector<Action>& out) {
@@ -121,6 +177,10 @@
     for (const EndpointId id : call.refused) {
         const auto it = berths_.find(id);
         if (it == berths_.end() || !it->second.berth.ready || now_ - it->second.hinted > kHintHolds) continue;
+        // It has barred the id.
+        if (std::any_of(call.attempts.begin(), call.attempts.end(),
+                        [&](const Attempt& a) { return a.asks_for && a.to == id; }))
+            continue;
         if (it->second.wait < least) {
             least = it->second.wait;
             best = id;
@@ -145,7 +205,8 @@
     if (!to) return give_up(call);
     ++call.offers;
     ++berths_.at(*to).out;
-    call.attempts.push_back({*to, true, false});
+    call.attempts.push_back({*to, true});
+    call.attempts.back().sent = now_;
     out_->push_back(Send{call.request.id, *to, Duration{}});
 }
 
@@ -160,8 +221,9 @@
     if (berth != berths_.end()) --berth->second.out;
     const bool never_ran = outcome.status == Status::Full || outcome.status == Status::ConnectFailed ||
                            outcome.status == Status::Moot;
-    attempt.ran = !never_ran;
-    if (!never_ran) ++call.ran;
+    const auto asked = attempt.asks_for;
+    attempt.ran = !never_ran && !asked;
+    if (attempt.ran) ++call.ran;
     if (berth != berths_.end()) {
         if (outcome.status == Status::ConnectFailed) berth->second.shun = now_ + kShunUnreached;
         if (outcome.status == Status::Reset) berth->second.shun = now_ + kShunFailed;
@@ -170,16 +232,50 @@
         budgets_.try_emplace(call.plan.service, options_.bucket).first->second.earn();
     if (outcome.last) call.open = false;
     if (!call.open) return forget_if_over(outcome.id);
-    if (never_ran) {
+    if (asked) {
+        // Only the gate's own word frees it: one that can't be reached may have handed it on before.
+        if (outcome.status != Status::Full) return give_up(call);
+        call.attempts[*asked].ran = false;
+        --call.ran;
         call.refused.push_back(attempt.to);
         return try_send(call);
     }
+    if (outcome.status == Status::Reset && ask(call, outcome.attempt)) return;
+    if (never_ran) call.refused.push_back(attempt.to);
+    // Beside one that was doubted: another is out, or about to go.
+    if (call.held_until || std::any_of(call.attempts.begin(), call.attempts.end(),
+                                       [](const Attempt& a) { return a.out && !a.doubted; }))
+        return;
+    if (call.replanned) return go_on_anew(call);
+    if (call.outdated) {
+        call.held_until = now_ + std::min(kReplanTime, left_for_retry(call.request.deadline, now_));
+        out_->push_back(SetTimer{*call.held_until, call.number});
+        return;
+    }
+    if (never_ran) return try_send(call);
     retry(call);
 }
 
+/// After a broken hop: whether what must not run twice was ever handed on. The gate that says no has barred
+/// it.
+bool Quay::ask(Call& call, std::size_t attempt) {
+    const Attempt broken = call.attempts[attempt];
+    const auto berth = berths_.find(broken.to);  // of the same life, or it is not there
+    if (call.plan.repeatable || broken.handed_on || berth == berths_.end() ||
+        left_for_retry(call.request.deadline, now_) <= Duration{})
+        return false;
+    ++berth->second.out;
+    call.attempts.push_back({broken.to, true});
+    call.attempts.back().asks_for = attempt;
+    out_->push_back(Send{call.request.id, broken.to, kAskTime});
+    return true;
+}
+
 void Quay::retry(Call& call) {
     const Duration left = left_for_retry(call.request.deadline, now_);
-    const bool allowed = call.plan.repeatable && call.ran < call.plan.max_attempts;
+    const auto may_have_run = std::count_if(call.attempts.begin(), call.attempts.end(),
+                                            [](const Attempt& a) { return a.out || a.ran; });
+    const bool allowed = call.plan.repeatable && may_have_run < call.plan.max_attempts;
     if (!allowed || left <= Duration{}) return give_up(call);
     if (!budgets_.try_emplace(call.plan.service, options_.bucket).first->second.spend()) return give_up(call);
     call.refused.clear();
@@ -194,19 +290,25 @@
     if (number == numbers_.end()) return;
     const auto call = calls_.find(number->second);
     if (call == calls_.end() || !call->second.held_until || now_ < *call->second.held_until) return;
-    if (call->second.open) try_send(call->second);
+    if (!call->second.open) return;
+    call->second.outdated || call->second.replanned ? go_on_anew(call->second) : try_send(call->second);
 }
 
 /// The final answer, at once: a promise where nothing can have run, with a time to come back.
 void Quay::give_up(Call& call) {
     const RequestId id = call.request.id;
-    if (call.ran == 0) {
+    call.held_until.reset();
+    const bool out = any_out(call);
+    if (out && draining_) return;  // the last to end, or the deadline, brings the answer
+    for (std::size_t i = 0; out && i < call.attempts.size(); ++i) {
+        if (call.attempts[i].out) out_->push_back(Cancel{id, static_cast<AttemptNumber>(i)});
+    }
+    if (call.ran == 0 && !out) {
         out_->push_back(Refuse{id, kComeBackLeast + scaled(kComeBackSpread, random_.unit())});
     } else {
         out_->push_back(Fail{id});
     }
     call.open = false;
-    call.held_until.reset();
     forget_if_over(id);
 }
 
@@ -225,12 +327,14 @@
     forget_if_over(lapsed.id);
 }
 
+bool Quay::any_out(const Call& call) {
+    return std::any_of(call.attempts.begin(), call.attempts.end(), [](const Attempt& a) { return a.out; });
+}
+
 void Quay::forget_if_over(const RequestId& id) {
     const auto it = calls_.find(id);
     if (it == calls_.end() || it->second.open) return;
-    if (std::any_of(it->second.attempts.begin(), it->second.attempts.end(),
-                    [](const Attempt& a) { return a.out; }))
-        return;
+    if (any_out(it->second)) return;
     numbers_.erase(it->second.number);
     calls_.erase(it);
 }
--- a/src/stall/dialects.cpp
+++ b/src/stall/dialects.cpp
@@ -21,10 +21,18 @@
 constexpr char kNotExecuted[] = "Not-Executed";
 constexpr char kSeal[] = "Server-Seal";
 // On the hop alone.
-constexpr char kHop[] = "Mesh-Hop";          // "instance;offer;repeatable;priority;ms to its aim;kind"
+// "instance;offer;repeatable;priority;ms to its aim;kind;life;version". The offer is f (if a slot is free), q
+// (or wait) or a (ask): then nothing is handed on, and in place of the aim stands how many ms ago the hop
+// went that is asked for.
+constexpr char kHop[] = "Mesh-Hop";
 constexpr char kRefused[] = "Mesh-Refused";  // the gate has not handed it on; ms that it would have waited
 constexpr char kFailed[] = "Mesh-Failed";    // it was handed on and may have run
 
+constexpr char kHopNumber = '#';  // stands between an Attempt-Id and the number of its hop
+
+constexpr char kVersion[] = "Mesh-Version";  // of the gate's configuration, which wants another answer
+
+constexpr std::size_t kMostBehind = 1024;  // requests that wait for a version, of a half second's many
 constexpr std::size_t kMostId = 128;
 constexpr std::int64_t kMostTimeMs = 24 * 3600 * 1000;
 constexpr Duration kWayBack = 20ms;    // of an answer to a client: it must be out by so much sooner
@@ -54,6 +62,11 @@
     }
 }
 
+/// What clients take for word that the request never ran and never will.
+bool promises(unsigned status) {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 std::string_view view(boost::beast::string_view text) {
     return {text.data(), text.size()};
 }
@@ -70,6 +83,16 @@
     limits_.most_header =
         static_cast<std::size_t>(std::clamp<std::int64_t>(told.max_header_bytes, 1024, 32 * 1024));
     limits_.most_body = static_cast<std::uint64_t>(told.max_body_bytes);
+    bool replanned = false;
+    for (Behind& behind : std::exchange(behind_, {})) {
+        if (charter_->version() < behind.newer) {
+            behind_.push_back(std::move(behind));
+            continue;
+        }
+        replan(behind);
+        replanned = true;
+    }
+    if (replanned && replanned_) replanned_();
 }
 
 DrainTimes OutboundFront::drain_times() const {
@@ -122,20 +145,42 @@
     request.deadline = arrived + std::chrono::milliseconds(most) -
                        std::min<Duration>(kWayBack, std::chrono::milliseconds(most) / 4);
     request.write = !route->repeatable();
-    quay::Plan plan;
-    plan.service = route->service_for(request.id);
-    plan.kind = static_cast<std::uint32_t>(
-        charter::digest(route->name, tenant ? static_cast<std::uint64_t>(tenant->priority) : 0) & 0xffffff);
-    plan.repeatable = route->repeatable();
-    plan.max_attempts = route->max_attempts;
+    quay::Plan plan = plan_for(*route, request.id, tenant);
     plan.aim_end = arrived + std::chrono::milliseconds(route->aim_ms > 0 ? route->aim_ms : most) - kWayBack;
-    plan.priority =
-        (tenant ? tenant->priority * 1000 : 0) + std::clamp<std::int64_t>(route->priority, 0, 999);
     quay_.prepare(request.id, std::move(plan));
     return request;
 }
 
-void OutboundFront::write(const Answer& answer, http::response_header<>& head) {
+quay::Plan OutboundFront::plan_for(const charter::Route& route, const std::string& id,
+                                   const charter::Tenant* tenant) const {
+    quay::Plan plan;
+    plan.service = route.service_for(id);
+    plan.kind = static_cast<std::uint32_t>(
+        charter::digest(route.name, tenant ? static_cast<std::uint64_t>(tenant->priority) : 0) & 0xffffff);
+    plan.repeatable = route.repeatable();
+    plan.max_attempts = route.max_attempts;
+    plan.priority = (tenant ? tenant->priority * 1000 : 0) + std::clamp<std::int64_t>(route.priority, 0, 999);
+    plan.version = charter_->version();
+    return plan;
+}
+
+void OutboundFront::outdated(const HttpMessage& message, charter::Version newer) {
+    Behind behind{newer, std::string(message.field(kAttemptId)), std::string(message.field("Host")),
+                  std::string(view(message.head.target())), std::string(message.field(kTenantName))};
+    quay_.outdated(behind.id);
+    if (charter_ && charter_->version() >= newer) return replan(behind);
+    // One more than these is refused after its wait.
+    if (behind_.size() < kMostBehind) behind_.push_back(std::move(behind));
+}
+
+void OutboundFront::replan(const Behind& behind) {
+    const auto* route = charter_->route(behind.host, behind.target);
+    const auto* tenant = behind.tenant.empty() ? nullptr : charter_->tenant(behind.tenant);
+    const bool allowed = route && (behind.tenant.empty() || tenant);
+    quay_.replan(behind.id, allowed ? std::optional(plan_for(*route, behind.id, tenant)) : std::nullopt);
+}
+
+void OutboundFront::write(const Answer& answer, const RequestId&, http::response_header<>& head) {
     if (answer.kind == Answer::Kind::Served) ++figures_.served;
     if (answer.kind == Answer::Kind::Refused) ++figures_.refused;
     if (answer.kind == Answer::Kind::Failed) ++figures_.failed;
@@ -152,26 +197,41 @@
 void HopBack::prepare(http::request_header<>& head, const HttpMessage& message, EndpointId to, Time end) {
     const RequestId id(message.field(kAttemptId));
     const auto* plan = quay_.plan(id);
-    const auto instance = instances_.find(to);
+    const auto gate = gates_.find(to);
+    const auto asks = quay_.asks(id);
+    const Duration aim = plan ? plan->aim_end - loop_.now() : Duration{};
     head.set(kTimeRemaining, std::to_string(std::max<std::int64_t>(1, millis(end - loop_.now()))));
-    head.set(kHop,
-             (instance == instances_.end() ? std::string() : instance->second) + ";" +
-                 (quay_.offer(id) == quay::Offer::Queue ? "q" : "f") + ";" +
-                 (plan && plan->repeatable ? "r" : "o") + ";" + std::to_string(plan ? plan->priority : 0) +
-                 ";" +
-                 std::to_string(plan ? std::max<std::int64_t>(0, millis(plan->aim_end - loop_.now())) : 0) +
-                 ";" + std::to_string(plan ? plan->kind : 0));
+    head.set(kHop, (gate == gates_.end() ? std::string() : gate->second.instance) + ";" +
+                       (asks                                    ? "a"
+                        : quay_.offer(id) == quay::Offer::Queue ? "q"
+                                                                : "f") +
+                       ";" + (plan && plan->repeatable ? "r" : "o") + ";" +
+                       std::to_string(plan ? plan->priority : 0) + ";" +
+                       std::to_string(std::max<std::int64_t>(0, asks ? millis(*asks) + 1 : millis(aim))) +
+                       ";" + std::to_string(plan ? plan->kind : 0) + ";" +
+                       std::to_string(gate == gates_.end() ? 0 : gate->second.life) + ";" +
+                       std::to_string(plan ? plan->version : 0));
+}
+
+bool HopBack::carries_body(const HttpMessage& message) const {
+    return !quay_.asks(RequestId(message.field(kAttemptId)));
 }
 
 std::optional<Status> HopBack::classify(const http::response_header<>& head, const HttpMessage* message,
                                         EndpointId from) {
+    // Guards against a gate's word for another request: its refusal is a proof, and a proof wants to be tied.
+    if (message && view(head[kAttemptId]) != message->field(kAttemptId)) return std::nullopt;
     if (!head[kRefused].empty()) {
         const auto wait = whole_number(head[kRefused]);
         quay_.hint(from, loop_.now(), std::chrono::milliseconds(wait.value_or(1000)));
+        const auto newer = whole_number(head[kVersion]);
+        if (message && newer) outbound_.outdated(*message, static_cast<charter::Version>(*newer));
         return Status::Full;
     }
-    if (!head[kFailed].empty()) return Status::Reset;
-    if (message && view(head[kAttemptId]) != message->field(kAttemptId)) return std::nullopt;
+    if (!head[kFailed].empty()) {
+        if (message) quay_.handed_on(RequestId(message->field(kAttemptId)));
+        return Status::Reset;
+    }
     return head.result_int() >= 500 ? Status::Error : Status::Ok;
 }
 
@@ -186,7 +246,7 @@
     const auto parts = parts_of(view(head[kHop]));
     const auto id = head[kAttemptId];
     const auto left = whole_number(head[kTimeRemaining]);
-    if (parts.size() != 6 || id.empty() || id.size() > kMostId || !left || *left < 1 || *left > kMostTimeMs)
+    if (parts.size() < 8 || id.empty() || id.size() > kMostId || !left || *left < 1 || *left > kMostTimeMs)
         return TurnAway{http::status::bad_request};
     tollgate::Toll toll;
     toll.instance = parts[0];
@@ -198,22 +258,58 @@
     std::from_chars(parts[4].data(), parts[4].data() + parts[4].size(), aim);
     std::from_chars(parts[5].data(), parts[5].data() + parts[5].size(), toll.kind);
     toll.aim = std::chrono::milliseconds(std::clamp<std::int64_t>(aim, 0, kMostTimeMs));
+    if (parts[1] == "a") {
+        const bool same_life = parts[6] == std::to_string(life_);
+        const bool never = same_life && gate_.bar(Loop::monotonic(), toll.attempt_id, toll.aim);
+        TurnAway word{http::status::service_unavailable, true, {}, {{kAttemptId, toll.attempt_id}}};
+        if (never) {
+            word.fields.emplace_back(kRefused,
+                                     std::to_string(std::max<std::int64_t>(1, millis(gate_.wait()))));
+        } else {
+            word.fields.emplace_back(kFailed, "1");
+        }
+        return word;
+    }
+    charter::Version version = 0;
+    std::from_chars(parts[7].data(), parts[7].data() + parts[7].size(), version);
+    if (decides_otherwise(head, toll, version)) {
+        return TurnAway{http::status::service_unavailable,
+                        true,
+                        {},
+                        {{kAttemptId, toll.attempt_id},
+                         {kRefused, std::to_string(std::max<std::int64_t>(1, millis(gate_.wait())))},
+                         {kVersion, std::to_string(in_force_()->version())}}};
+    }
     head.erase(kHop);
     Request request;
-    request.id = std::to_string(++last_);  // an id may come again here: each hop is a request of its own
+    // An id may come again here: each hop is a request of its own.
+    request.id = toll.attempt_id + kHopNumber + std::to_string(++last_);
     request.deadline = arrived + std::chrono::milliseconds(*left) - kHopBack;
     request.write = !toll.repeatable;
     gate_.prepare(request.id, std::move(toll));
     return request;
 }
 
-void HopFront::write(const Answer& answer, http::response_header<>& head) {
+/// Whether a newer configuration than the caller's wants it elsewhere, treated otherwise, or not at all.
+bool HopFront::decides_otherwise(const Fields& head, const tollgate::Toll& toll,
+                                 charter::Version version) const {
+    const auto* charter = in_force_();
+    if (!charter || charter->version() <= version) return false;
+    const auto* route = charter->route(view(head[http::field::host]), view(head.target()));
+    const auto tenant = view(head[kTenantName]);
+    return !route || route->repeatable() != toll.repeatable ||
+           route->service_for(toll.attempt_id) != settings_.service ||
+           (!tenant.empty() && !charter->tenant(tenant));
+}
+
+void HopFront::write(const Answer& answer, const RequestId& id, http::response_header<>& head) {
     if (pass(answer, head)) {
         // What an endpoint says is not taken for the gate's own word.
         head.erase(kRefused);
         head.erase(kFailed);
         return;
     }
+    head.set(kAttemptId, id.substr(0, id.rfind(kHopNumber)));
     if (answer.kind == Answer::Kind::Refused) {
         head.result(http::status::service_unavailable);
         head.set(kRefused, std::to_string(std::max<std::int64_t>(1, millis(gate_.wait()))));
@@ -241,10 +337,13 @@
     const bool not_run = !head[kNotExecuted].empty() || status == 421;
     if (!message) return status == 200 && !head[kInstanceId].empty() ? Status::Ok : Status::Error;  // a probe
     if (message && !id.empty() && id != message->field(kAttemptId)) return std::nullopt;
-    // What doesn't say which request it answers is not taken for the answer to this one, unless it says that
-    // none ran.
-    if (id.empty()) return not_run ? Status::Full : Status::Reset;
+    // What doesn't say which request it answers is not taken for the answer to this one. Guards against a
+    // surplus answer that says "not executed" of an earlier request while this one runs.
+    if (id.empty()) return Status::Reset;
     if (not_run) return Status::Full;
+    // Guards against passing on a promise that the endpoint doesn't make: to its client these statuses say
+    // that nothing ran.
+    if (promises(status)) return Status::Reset;
     if (status / 100 == 2 && (head[kSeal].empty() || !head[http::field::content_encoding].empty()))
         return Status::Reset;
     return status >= 500 ? Status::Error : Status::Ok;
--- a/tools/hollow/hollow_stall.cpp
+++ b/tools/hollow/hollow_stall.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kAnnounce = 500ms;
 constexpr Duration kGuildhallSilent = 2200ms;
 constexpr Duration kForgetGuildhall = 20s;
+constexpr Duration kIntakePatience = 400ms;
 constexpr std::size_t kMostGuildhalls = 32;
 
 std::uint64_t drawn() {
@@ -27,7 +28,9 @@
       gauge_(gauge),
       quay_(quay::Quay::Options{options.zone}, drawn()),
       scale_({}),
-      ticker_(loop) {
+      intake_(kIntakePatience),
+      ticker_(loop),
+      intake_timer_(loop) {
     place_.node = options.node;
     place_.life = drawn();
     place_.gate = options.gate;
@@ -82,7 +85,8 @@
 }
 
 void HollowStall::poll(Guildhall& guildhall) {
-    guildhall.dialer->send(passage::Poll{guildhall.epoch, guildhall.seq, version_, guildhall.wants});
+    guildhall.dialer->send(passage::Poll{guildhall.epoch, guildhall.seq,
+                                         std::max(version_, guildhall.passed_over), guildhall.wants});
 }
 
 void HollowStall::announce_to(Guildhall& guildhall) {
@@ -95,7 +99,8 @@
         }
         demands_ = scale_.demands(now, tenants);
     }
-    guildhall.dialer->send(passage::Announce{place_, demands_, guildhall.taken, version_});
+    const auto asked = static_cast<std::uint64_t>(loop_.now().time_since_epoch().count());
+    guildhall.dialer->send(passage::Announce{place_, demands_, guildhall.taken, version_, asked});
 }
 
 void HollowStall::announce() {
@@ -108,7 +113,8 @@
     Guildhall& guildhall = guildhalls_.at(address);
     if (auto* grants = std::get_if<passage::Grants>(&message)) {
         guildhall.taken = grants->number;
-        if (grants->leads) scale_.granted(now, grants->grants);
+        const Time asked{Duration{static_cast<Duration::rep>(grants->asked)}};
+        if (grants->leads && asked <= now) scale_.granted(now, grants->grants, asked);
     } else if (auto* news = std::get_if<passage::News>(&message)) {
         guildhall.answered = now;
         guildhall.in_touch = news->in_touch;
@@ -117,8 +123,17 @@
         for (const auto& other : news->guildhalls) dial(other.address);
         show_touch();
         apply(view_.take(now, address, news->rolls));
-        if (news->version > version_ && !news->config.empty()) serve(news->version, news->config);
-        guildhall.wants = news->version > version_;
+        const bool takes = intake_.takes(now, version_, news->version, news->in_touch);
+        if (takes && !news->config.empty()) serve(news->version, news->config);
+        guildhall.wants = takes && news->version > version_;
+        guildhall.passed_over = !takes && news->version > version_ ? news->version : 0;
+        if (guildhall.passed_over != 0 && !std::exchange(asking_again_, true)) {
+            intake_timer_.set(now + kIntakePatience, [this] {
+                for (auto& [other, each] : guildhalls_) {
+                    if (std::exchange(each.passed_over, 0) != 0) poll(each);
+                }
+            });
+        }
         poll(guildhall);
     }
 }
--- a/tools/hollow/hollow_stall.h
+++ b/tools/hollow/hollow_stall.h
@@ -18,6 +18,7 @@
 #include "quay/quay.h"
 #include "rolls/rolls.h"
 #include "scales/scales.h"
+#include "stall/intake.h"
 
 namespace martenford::hollow {
 
@@ -46,6 +47,7 @@
     struct Guildhall {
         std::unique_ptr<passage::Dialer> dialer;
         std::uint64_t epoch = 0, seq = 0, taken = 0;
+        std::uint32_t passed_over = 0;  // a version that it offered and that was not taken
         bool in_touch = false, wants = false;
         Time answered{}, named{};
     };
@@ -74,7 +76,9 @@
     rolls::Place place_;
     std::uint32_t version_ = 0, endpoints_ = 0;
     Time announced_{}, demanded_{};
-    Timer ticker_;
+    stall::VersionIntake intake_;
+    bool asking_again_ = false;
+    Timer ticker_, intake_timer_;
 };
 
 }  // namespace martenford::hollow
