--- a/src/guildhall/guildhall.cpp
+++ b/src/guildhall/guildhall.cpp
@@ -399,14 +399,14 @@
             if (const auto peer = peers_.find(to); peer != peers_.end()) peer->second.dialer->send(message);
         }
     }
-    bool disk_is_last() const { return moot_.disk().newest.outgoing.empty(); }
     void report() {
         if (const bool leads = moot_.role() == moot::Moot::Role::Leader; leads != led_) {
             led_ = leads;
             ring(leads ? Event::Leads : Event::LeadLost, leads ? "leads" : "leads no more",
                  {{"term", std::to_string(moot_.disk().term)}});
         }
-        if (moot_.disk().newest.voters == voters_) return;
+        // A set counts once it stands alone: while the one before it has a say, it may not bear a loss yet.
+        if (!moot_.disk().newest.outgoing.empty() || moot_.disk().newest.voters == voters_) return;
         voters_ = moot_.disk().newest.voters;
         std::string text;
         for (const auto& voter : voters_) {
@@ -414,7 +414,7 @@
             know(voter);
         }
         ring(Event::MembersChanged, "voters", {{"are", text}, {"this", moot_.is_voter() ? "yes" : "no"}});
-        if (!moot_.bears_losses() && disk_is_last())
+        if (!moot_.bears_losses())
             ring(Event::LossesNotBorne, "too few voters",
                  {{"voters", std::to_string(voters_.size())},
                   {"machines", std::to_string(settings_.fault_tolerance.machines)},
