--- a/src/strongbox/strongbox.cpp
+++ b/src/strongbox/strongbox.cpp
@@ -76,6 +76,9 @@
         return trouble(code);
     }
     if (const int code = mdb_txn_commit(txn)) return trouble(code);
+    // What a process that was killed had written and not yet synced is found here, and would be gone with the
+    // power after this one has spoken by it.
+    if (const int code = mdb_env_sync(impl->env, 1)) return trouble(code);
     sync_folder(directory);
     return impl;
 }
--- a/tests/mesh/power_test.cpp
+++ b/tests/mesh/power_test.cpp
@@ -222,3 +222,15 @@
     }
     CHECK(failed > 20);
 }
+
+TEST_CASE(
+    "what a restart finds is synced before it is read: the process before may have been killed in a save") {
+    Folder folder;
+    { REQUIRE(save(*open(folder), 1)); }
+    start_watching(folder);
+    const auto box = open(folder);
+    const auto done = std::exchange(watch, {}).done;
+    REQUIRE_FALSE(done.empty());
+    CHECK(done.back().is_sync);
+    CHECK(box->load().records == records(1));
+}
