A dial that takes long goes on beside the next: stalls come back over full links

Its link (7.7 Mbit/s) holds packets for 0.4 to 0.9 s under load (a version is served 0.4 to 0.9 s after it is taken), and the dialer gave an attempt up after 0.4 s: none could come up.

Change: up to four attempts at once, the oldest given up; the first that comes up is the connection.

--- a/src/passage/channel.cpp
+++ b/src/passage/channel.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -14,8 +15,9 @@
 namespace {
 constexpr std::size_t kReadSize = 16 * 1024;
 constexpr std::size_t kMostQueued = 24 * 1024 * 1024;
-constexpr std::size_t kMostFrames = 16;  // written at once
-constexpr Duration kDialTime = 400ms;
+constexpr std::size_t kMostFrames = 16;   // written at once
+constexpr Duration kDialTime = 400ms;     // after which another attempt is made beside it
+constexpr std::size_t kMostAttempts = 4;  // at once; the oldest, some 2 s old, is given up
 constexpr Duration kPauseLeast = 100ms, kPauseMost = 400ms;
 constexpr unsigned kUnacknowledged = 1000;  // ms
 constexpr Duration kAcceptAgain = 50ms;
@@ -121,21 +123,40 @@
 }
 
 Dialer::~Dialer() {
-    error_code ignored;
-    if (socket_) socket_->close(ignored);
+    end_attempts();
     if (channel_) channel_->close();
 }
 
+void Dialer::end_attempts() {
+    error_code ignored;
+    for (const Socket& attempt : attempts_) attempt->close(ignored);
+    attempts_.clear();
+}
+
 void Dialer::dial() {
-    socket_ = std::make_shared<asio::ip::tcp::socket>(loop_.io());
+    if (attempts_.size() >= kMostAttempts) {
+        error_code ignored;
+        attempts_.front()->close(ignored);
+        attempts_.pop_front();
+    }
+    const auto socket = std::make_shared<asio::ip::tcp::socket>(loop_.io());
+    attempts_.push_back(socket);
     limit_.set(loop_.now() + kDialTime, [this] { again(); });
-    socket_->async_connect(to_, [this, socket = socket_](const error_code& error) {
-        if (error == asio::error::operation_aborted || socket != socket_) return;
-        if (error) return again();
+    socket->async_connect(to_, [this, socket](const error_code& error) {
+        if (error == asio::error::operation_aborted) return;  // this one may be gone
+        const auto own = std::find(attempts_.begin(), attempts_.end(), socket);
+        if (own == attempts_.end()) return;
+        if (error) {
+            const bool last = socket == attempts_.back();
+            attempts_.erase(own);
+            if (last) again();  // an older one that ends changes nothing
+            return;
+        }
         limit_.cancel();
         pause_ = kPauseLeast;
+        attempts_.erase(own);
         channel_ = std::make_shared<Channel>(loop_, std::move(*socket));
-        socket_.reset();
+        end_attempts();
         channel_->start(heard_, [this] {
             if (down_) down_();
             again();
@@ -152,9 +173,6 @@
 }
 
 void Dialer::again() {
-    error_code ignored;
-    if (socket_) socket_->close(ignored);
-    socket_.reset();
     channel_.reset();
     limit_.set(loop_.now() + pause_, [this] { dial(); });
     pause_ = std::min(kPauseMost, pause_ * 2);
--- a/src/passage/channel.h
+++ b/src/passage/channel.h
@@ -52,7 +52,9 @@
     Closed closed_;
 };
 
-/// Keeps a connection to one address: dials again, with a pause, whenever it ends.
+/// Keeps a connection to one address: dials again, with a pause, whenever it ends. An attempt that takes long
+/// goes on beside the next ones: behind a link whose queue is longer than the time for one, none would ever
+/// come up; and one whose opening packet was lost is not waited for.
 class Dialer {
   public:
     Dialer(Loop& loop, const Address& to, Channel::Heard heard, std::function<void()> up,
@@ -69,14 +71,16 @@
     Time heard_at() const { return channel_ ? channel_->heard_at() : Time{}; }
 
   private:
+    using Socket = std::shared_ptr<asio::ip::tcp::socket>;
     void dial();
     void again();
+    void end_attempts();
 
     Loop& loop_;
     const Address to_;
     Channel::Heard heard_;
     std::function<void()> up_, down_;
-    std::shared_ptr<asio::ip::tcp::socket> socket_;
+    std::deque<Socket> attempts_;  // the oldest first
     std::shared_ptr<Channel> channel_;
     Timer limit_;
     Duration pause_;
