Log how a proxy's graceful shutdown ended (MG104)

Need: the incident's logs could not tell a transfer that outlasts the grace period from a drain that ends too early or an exit that hangs. Change: Http1Front::backlog(); GracefulShutdown logs it with MG104. No decision changes.

--- a/src/event_log/event_catalogue.cpp
+++ b/src/event_log/event_catalogue.cpp
@@ -27,6 +27,10 @@
          "The process received SIGTERM and shuts down gracefully."},
         {Event::BadSettings, "MG103", "program.bad_settings", nullptr, Severity::Error, 10,
          "The settings file cannot be used. The process exits with code 2."},
+        {Event::Stopped, "MG104", "program.stopped", nullptr, Severity::Info, 10,
+         "The graceful shutdown of a proxy is over and the process exits. The line says whether both "
+         "listeners "
+         "were drained, how long that took, and what was still owed to clients and to other proxies."},
         {Event::ConfigAccepted, "MG201", "config.accepted", "charter.taken", Severity::Info, 60,
          "The controller committed a configuration and acknowledged it to the operator."},
         {Event::ConfigRejected, "MG202", "config.rejected", "charter.refused", Severity::Warning, 60,
--- a/src/event_log/event_log.h
+++ b/src/event_log/event_log.h
@@ -19,6 +19,7 @@
     Started,
     Stopping,
     BadSettings,
+    Stopped,
     ConfigAccepted,
     ConfigRejected,
     ConfigApplied,
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -1,6 +1,8 @@
 #include "http1/front.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -89,6 +91,13 @@
     bool idle() const { return between() && silent(); }
     /// The same, as far as has been read.
     bool between() const { return stage_ == Stage::Reading && !parser_->got_some() && buffer_.size() == 0; }
+    /// Bytes that the kernel holds and the client's kernel has not acknowledged.
+    std::uint64_t unsent_bytes() {
+        int bytes = 0;
+        return ::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0
+                   ? static_cast<std::uint64_t>(bytes)
+                   : 0;
+    }
     /// Since when it has its place among those like it.
     Time since() const { return since_; }
     void close() {
@@ -591,6 +600,18 @@
     }
 }
 
+ClientBacklog Http1Front::backlog() const {
+    ClientBacklog backlog;
+    backlog.requests = busy_.size();
+    backlog.connections = held();
+    for (const Clients* clients : {&waiting_, &begun_, &busy_}) {
+        for (const auto& entry : *clients) {
+            if (const auto client = entry.lock()) backlog.unsent_bytes += client->unsent_bytes();
+        }
+    }
+    return backlog;
+}
+
 void Http1Front::evacuate() {
     if (evacuated_ || draining()) return;
     evacuated_ = Loop::monotonic();
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
@@ -17,6 +19,13 @@
 class Client;
 class ServerProtocol;
 
+/// What a front still owes its clients.
+struct ClientBacklog {
+    std::size_t requests = 0;        ///< taken, and their answers not written whole
+    std::size_t connections = 0;     ///< open, these included
+    std::uint64_t unsent_bytes = 0;  ///< written, and not acknowledged by the client's kernel
+};
+
 class Http1Front {
   public:
     /// Holds this many connections at most. Throws boost::system::system_error where it can't listen.
@@ -46,6 +55,9 @@
     /// From here on it holds so many; those that carry no request are closed to get there.
     void hold_at_most(std::size_t most);
 
+    /// Looks at every connection: for the log of a shutdown, not for each request.
+    [[nodiscard]] ClientBacklog backlog() const;
+
     /// Where it listens: the port is the system's choice where the configuration says 0.
     Address listens_at() const { return acceptor_.local_endpoint(); }
     bool draining() const { return static_cast<bool>(drained_); }
--- a/src/proxy/graceful_shutdown.h
+++ b/src/proxy/graceful_shutdown.h
@@ -27,7 +27,10 @@
   private:
     Parts parts_;
     Duration grace_;
+    void finish(bool drained);
+
     bool in_progress_ = false;
+    Time began_at_{};
     int listeners_draining_ = 0;
 };
 
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -53,6 +53,8 @@
     /// Returns true if there are routes and at least one upstream is ready.
     [[nodiscard]] bool can_serve() const;
 
+    /// What clients are still owed.
+    [[nodiscard]] ClientBacklog backlog() const { return listener_.backlog(); }
     [[nodiscard]] quota::QuotaLimiter& quota_limiter() { return quota_limiter_; }
     [[nodiscard]] const RequestTotals& totals() const { return totals_; }
 
@@ -82,6 +84,8 @@
     void listen(const Address& address) { listener_.listen(address); }
     /// Finishes what was accepted, then calls `done` once.
     void drain(std::function<void()> done) { listener_.drain(std::move(done), false); }
+    /// What other proxies are still owed.
+    [[nodiscard]] ClientBacklog backlog() const { return listener_.backlog(); }
     /// @param callback is called at the end of each attempt at the endpoint.
     void on_attempt_end(std::function<void(decision::Status)> callback);
     /// @param path of the endpoint's health check.
