Test: a planned stop cuts downloads that outlast the grace period (known red)

Cause: a proxy that shuts down begins to pass an answer on without knowing that it can end it; the loop is stopped shortly before SIGKILL whatever is under way.

--- a/tests/mesh/rig/standins.cpp
+++ b/tests/mesh/rig/standins.cpp
@@ -48,14 +48,16 @@
     if (const auto done = std::exchange(done_, nullptr)) done(std::move(response));
 }
 
-void Connection::fail() {
+void Connection::fail(Response::Failure failure) {
     close();
-    finish({});
+    Response response;
+    response.failure = failure;
+    finish(std::move(response));
 }
 
 void Connection::send(const std::string& request, Duration timeout, Done done) {
     done_ = std::move(done);
-    timeout_.set(loop_.now() + timeout, [this] { fail(); });
+    timeout_.set(loop_.now() + timeout, [this] { fail(Response::Failure::TimedOut); });
     if (!stream_) stream_ = std::make_shared<Stream>(loop_, *this);
     const auto stream = stream_;
     stream->request = request;
@@ -63,7 +65,7 @@
     if (stream->connected) return exchange(stream);
     stream->socket.async_connect(*parse_address(to_), [stream](const error_code& error) {
         if (!stream->owner) return;
-        if (error) return stream->owner->fail();
+        if (error) return stream->owner->fail(Response::Failure::NotConnected);
         stream->connected = true;
         exchange(stream);
     });
@@ -77,7 +79,7 @@
     http::async_read(stream->socket, stream->buffer, stream->response,
                      [stream](const error_code& error, std::size_t) {
                          if (!stream->owner) return;
-                         if (error) return stream->owner->fail();
+                         if (error) return stream->owner->fail(Response::Failure::ConnectionEnded);
                          stream->owner->complete();
                      });
 }
@@ -86,7 +88,10 @@
     auto& received = stream_->response;
     std::ostringstream head;
     head << received.base();
-    Response response{static_cast<int>(received.result_int()), head.str(), std::move(received.body())};
+    Response response;
+    response.status = static_cast<int>(received.result_int());
+    response.head = head.str();
+    response.body = std::move(received.body());
     if (!received.keep_alive()) close();
     finish(std::move(response));
 }
@@ -137,6 +142,7 @@
     ReceivedRequest received = std::move(received_.extract(request.id).mapped());
     received.body = std::string(message->held_body());
     Handling handling = handler_(received);
+    if (handling.lost) return true;
     PendingResponse& pending = pending_[request.id];
     pending.reply = std::move(reply);
     if (handling.delay == Duration{}) {
@@ -164,9 +170,29 @@
         answer.head = std::move(head);
         answer.body = std::move(handling.body);
     }
+    if (handling.piece > 0 && answer.body.size() > handling.piece) {
+        answer.length = answer.body.size();
+        const auto stream =
+            streams_.emplace(streams_.end(), loop_, answer.body.substr(handling.piece), handling.piece);
+        answer.body.resize(handling.piece);
+        answer.rest = stream->pipe;
+        send_pieces(stream);
+    }
     pending.mapped().reply(std::move(answer));
 }
 
+void Endpoint::send_pieces(std::list<Stream>::iterator stream) {
+    stream->timer.set(loop_.now() + kPieceInterval, [this, stream] {
+        const auto pipe = stream->pipe;
+        pipe->put(stream->rest.substr(0, stream->piece));
+        stream->rest.erase(0, stream->piece);
+        if (!stream->rest.empty() && !pipe->unread()) return send_pieces(stream);
+        const bool whole = stream->rest.empty();
+        streams_.erase(stream);
+        if (whole) pipe->finish();
+    });
+}
+
 void Endpoint::write(const Answer& answer, const decision::RequestId&, http::response_header<>& head) {
     const auto* own = static_cast<const HttpAnswerHead*>(answer.head.get());
     if (!own) return;
--- a/tests/mesh/rig/standins.h
+++ b/tests/mesh/rig/standins.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <set>
@@ -19,7 +20,10 @@
 /// A response as a caller received it. Status 0: no response, or an incomplete
 /// one.
 struct Response {
+    /// Why there is none.
+    enum class Failure { None, NotConnected, ConnectionEnded, TimedOut };
     int status = 0;
+    Failure failure = Failure::None;
     std::string head, body;
     /// Returns the value of a header field; empty if there is none of this name.
     [[nodiscard]] std::string field(const std::string& name) const;
@@ -42,7 +46,7 @@
     struct Stream;
     static void exchange(const std::shared_ptr<Stream>& stream);
     void complete();
-    void fail();
+    void fail(Response::Failure failure);
     void finish(Response&& response);
     void close();
 
@@ -72,7 +76,11 @@
         std::string body;
         Duration delay{};
         bool fails = false;  // the response has no Attempt-Id and no Server-Seal
+        bool lost = false;   // there is no response
+        /// Bytes that are sent each kPieceInterval, as over a crowded link; 0: the body is sent at once.
+        std::size_t piece = 0;
     };
+    static constexpr Duration kPieceInterval = std::chrono::milliseconds(50);
     using Handler = std::function<Handling(const ReceivedRequest&)>;
 
     /// Listens at `address`, "ip:port".
@@ -102,6 +110,16 @@
         Reply reply;
         std::unique_ptr<Timer> timer;
     };
+    /// A body of which the rest is still to be sent.
+    struct Stream {
+        Stream(Loop& loop, std::string&& rest, std::size_t piece) : rest(rest), piece(piece), timer(loop) {}
+        std::string rest;
+        std::size_t piece;
+        Timer timer;
+        std::shared_ptr<Pipe> pipe = std::make_shared<Pipe>(rest.size());
+    };
+    /// Sends pieces until the body is whole or nobody reads it.
+    void send_pieces(std::list<Stream>::iterator stream);
 
     Loop& loop_;
     const std::string id_, address_;
@@ -111,6 +129,7 @@
     std::uint64_t last_request_ = 0;
     std::map<decision::RequestId, ReceivedRequest> received_;
     std::map<decision::RequestId, PendingResponse> pending_;
+    std::list<Stream> streams_;
     Http1Front front_;
 };
 
--- /dev/null
+++ b/tests/mesh/shutdown_test.cpp
@@ -0,0 +1,50 @@
+// The planned stop of a proxy, on real processes: answers that come slower than the grace period lasts. All
+// waits are for observed events; the grace period itself is real time.
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "mesh/rig/shutdown_world.h"
+
+using namespace martenford;
+using namespace martenford::rig;
+
+namespace {
+
+std::string text_of(const std::vector<std::string>& lines) {
+    std::string text;
+    for (const std::string& line : lines) text += line + "\n";
+    return text;
+}
+
+}  // namespace
+
+TEST_CASE("planned stop: no request that was read is cut, however slowly its answer comes") {
+    ShutdownWorld world(1, 2);
+    world.start();
+    // 150 kB by 1 kB each 50 ms: 7.5 s, longer than the grace period of 3 s.
+    world.set_answers(150'000, 1'000);
+    world.restart_by_plan(0);
+    for (int i = 0; i < 5; ++i) {
+        world.run_for(100ms);
+        world.download(0, 10s);
+    }
+    world.settle();
+    const auto violations = world.violations();
+    CHECK_MESSAGE(violations.empty(), text_of(violations) << world.logs());
+    REQUIRE(world.downloads().size() == 5);
+    for (const Download& download : world.downloads()) CHECK(download.response.status != 0);
+}
+
+TEST_CASE("planned stop: an answer that comes whole within the grace period is passed on") {
+    ShutdownWorld world(2, 2);
+    world.start();
+    world.set_answers(150'000, 10'000);  // 0.75 s
+    world.restart_by_plan(0);
+    world.run_for(100ms);
+    world.download(0, 10s);
+    world.settle();
+    CHECK(text_of(world.violations()).empty());
+    REQUIRE(world.downloads().size() == 1);
+    CHECK(world.downloads()[0].response.status == 200);
+}
