Mend LOST at planned stops: no answer is begun that the process can't end

Cause: after SIGTERM a proxy went on to pass answers as they came; one that comes over a crowded link outlasts grace_s, and the client's 200 breaks off at the exit. Change: in a drain, an answer to a request whose deadline is later than the drain's end is held until it is whole (HeldAnswer, 8 MiB a listener; beyond that it is passed on as before). What has no answer begun at the drain's end is answered 502, so that clients can try elsewhere. On both listeners.

--- a/src/event_log/event_log.h
+++ b/src/event_log/event_log.h
@@ -20,6 +20,7 @@
     Stopping,
     BadSettings,
     Stopped,
+    AnswersCut,
     ConfigAccepted,
     ConfigRejected,
     ConfigApplied,
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <variant>
 
+#include "http1/held_answer.h"
 #include "http1/http.h"
 #include "http1/protocol.h"
 
@@ -37,6 +38,7 @@
 constexpr Duration kSentAway = 300ms;     // after an evacuation began, by when no front sends anybody new
 constexpr Duration kLetGo = 1s;           // and by when idle connections are closed
 constexpr Duration kAskTime = 600ms;      // in which a new connection says what it wants then
+constexpr Duration kGiveUpAfter = 20ms;   // the desk's own deadline, at the same time, says more
 constexpr Duration kNoMore = 1800ms;  // from when on requests are refused: none of the last 2 s may be held
 
 /// Whether the length of the body is told in one way that all read alike. Guards against a second request
@@ -98,11 +100,25 @@
                    ? static_cast<std::uint64_t>(bytes)
                    : 0;
     }
+    /// Its request was read whole, and its client still waits for the whole answer.
+    bool awaits_answer() const {
+        return (stage_ == Stage::Waiting || stage_ == Stage::Writing) && !upload_ &&
+               Loop::monotonic() < deadline_;
+    }
+    /// Answers that the request failed, unless an answer has begun: the process is about to end.
+    void give_up() {
+        if (stage_ != Stage::Waiting || upload_) return;
+        const auto self = shared_from_this();
+        held_answer_.reset();
+        front_.desk_.leave(id_);
+        write_answer(Answer{});
+    }
     /// Since when it has its place among those like it.
     Time since() const { return since_; }
     void close() {
         if (std::exchange(stage_, Stage::Closed) == Stage::Closed) return;
         limit_.cancel();
+        held_answer_.reset();
         if (upload_) std::exchange(upload_, nullptr)->fail();
         if (reply_) std::exchange(reply_, nullptr)->stop();
         if (rest_) std::exchange(rest_, nullptr)->stop_reading();
@@ -121,6 +137,7 @@
         move(front_.waiting_);
         renew(parser_, limits().most_header, limits().most_body);
         continue_sent_ = false;
+        deadline_ = {};
         paused_ = {};
         paused_since_.reset();
     }
@@ -280,6 +297,7 @@
             event.deadline += limits().head_time + std::chrono::duration_cast<Duration>(at_most);
             event.arriving = true;
         }
+        deadline_ = event.deadline;
         limit_deadline(event.deadline);
         keep_ = keep;
         stage_ = Stage::Waiting;
@@ -313,6 +331,7 @@
         std::exchange(upload_, nullptr)->finish();
         if (stage_ != Stage::Waiting) return;
         Time deadline = Loop::monotonic() - since_arrival() + timeout_;
+        deadline_ = deadline;
         limit_deadline(deadline);
         front_.desk_.received(id_, deadline);
     }
@@ -336,6 +355,24 @@
             if (answer.rest) answer.rest->stop_reading();
             return;
         }
+        if (answer.rest && front_.holds_answers() && deadline_ > front_.answers_end_) {
+            return hold(std::move(answer));
+        }
+        write_answer(std::move(answer));
+    }
+
+    /// Guards against an answer that breaks off because this process ends: nothing of it is written before
+    /// all of it has come. Where it does not come in time, give_up() says so.
+    void hold(Answer&& answer) {
+        held_answer_ = std::make_unique<HeldAnswer>(std::move(answer), *front_.hold_limit_);
+        held_answer_->start([this](HeldAnswer::End end) {
+            const auto self = shared_from_this();
+            const auto held = std::exchange(held_answer_, nullptr);
+            write_answer(end == HeldAnswer::End::Broken ? Answer{} : held->take());
+        });
+    }
+
+    void write_answer(Answer&& answer) {
         Reply::Head head{http::status::bad_gateway, 11};
         front_.protocol_.write(answer, id_, head);
         rest_ = std::move(answer.rest);
@@ -442,7 +479,9 @@
     Duration paused_{};  // in which it was not read, since nobody took it
     std::optional<Time> paused_since_;
     Duration timeout_{};  // that its client waits, from the last byte on
+    Time deadline_{};     // until which it waits; in a drain the desk may have been told an earlier one
     // The answer.
+    std::unique_ptr<HeldAnswer> held_answer_;
     std::string body_;
     std::shared_ptr<Pipe> rest_;
     Tally::Ticket ticket_;  // where there is a rest
@@ -462,6 +501,7 @@
       again_(loop),
       quiet_(loop),
       letting_go_(loop),
+      giving_up_(loop),
       room_made_(
           counters.counter("clients.evicted", "connections without a whole request closed to make room")) {
     counters.gauge("clients.open", "connections of clients", [this] { return static_cast<double>(held()); });
@@ -565,10 +605,20 @@
     letting_go_.cancel();
     const DrainTimes times = protocol_.drain_times();
     answers_end_ = Loop::monotonic() + times.answers_end;
+    if (times.max_held_bytes > 0) {
+        hold_limit_ = std::make_unique<HoldLimit>(times.max_held_bytes);
+        giving_up_.set(answers_end_ + kGiveUpAfter, [this] { give_up(); });
+    }
     if (replaced_) return stop_accepting();  // what waits in the listener is its other holder's
     quiet_.set(Loop::monotonic() + times.last_call, [this] { stop_accepting(); });
 }
 
+void Http1Front::give_up() {
+    for (const auto& entry : Clients(busy_)) {
+        if (const auto client = entry.lock()) client->give_up();
+    }
+}
+
 void Http1Front::stop_accepting() {
     // What the kernel has accepted by now is taken over first; the loop has run all that was ready.
     // Taken out of the loop before it is closed: where another process holds the listener too, a close alone
@@ -606,7 +656,10 @@
     backlog.connections = held();
     for (const Clients* clients : {&waiting_, &begun_, &busy_}) {
         for (const auto& entry : *clients) {
-            if (const auto client = entry.lock()) backlog.unsent_bytes += client->unsent_bytes();
+            const auto client = entry.lock();
+            if (!client) continue;
+            backlog.unsent_bytes += client->unsent_bytes();
+            backlog.awaited_answers += client->awaits_answer() ? 1 : 0;
         }
     }
     return backlog;
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -17,13 +17,15 @@
 namespace martenford {
 
 class Client;
+class HoldLimit;
 class ServerProtocol;
 
 /// What a front still owes its clients.
 struct ClientBacklog {
-    std::size_t requests = 0;        ///< taken, and their answers not written whole
-    std::size_t connections = 0;     ///< open, these included
-    std::uint64_t unsent_bytes = 0;  ///< written, and not acknowledged by the client's kernel
+    std::size_t requests = 0;         ///< taken, and their answers not written whole
+    std::size_t awaited_answers = 0;  ///< of these requests: read whole, and their deadline not reached
+    std::size_t connections = 0;      ///< open
+    std::uint64_t unsent_bytes = 0;   ///< written, and not acknowledged by the client's kernel
 };
 
 class Http1Front {
@@ -44,7 +46,8 @@
 
     /// Stops in order: accepts and serves what still comes, answers all that was taken, then calls `done`
     /// once. Where another process accepts from the same listener (`replaced`), nothing more is accepted
-    /// here, and clients are told to come back on new connections.
+    /// here, and clients are told to come back on new connections. With DrainTimes::max_held_bytes no answer
+    /// is begun that could break off at the process's end.
     void drain(std::function<void()> done, bool replaced);
     /// Sends clients away while the process stays: not ready, their connections closed as they fall idle,
     /// within 4 s (of the platform's drain), without a request lost. A second call changes nothing.
@@ -74,6 +77,10 @@
     /// Whether requests are refused, in an evacuation that should be over.
     bool sends_all_away() const;
     void close_idle();
+    /// Whether answers that may come whole only after the drain are held until they are.
+    bool holds_answers() const { return hold_limit_ != nullptr; }
+    /// Answers every request that has no answer yet: the drain is over.
+    void give_up();
 
     void accept();
     void accepted(const boost::system::error_code& error, asio::ip::tcp::socket socket);
@@ -99,12 +106,13 @@
     Clients begun_;    // those whose request has begun to come, by when it last did
     Clients busy_;     // those with a request under way, which are never closed to make room
     bool accepting_ = false;
-    Timer again_, quiet_, letting_go_;
+    Timer again_, quiet_, letting_go_, giving_up_;
     std::optional<Time> evacuated_;  // since when
     bool replaced_ = false;
     Counter& room_made_;
     std::function<void()> drained_;
-    Time answers_end_{};  // after SIGTERM: when all that is taken must be answered
+    Time answers_end_{};                     // after SIGTERM: when all that is taken must be answered
+    std::unique_ptr<HoldLimit> hold_limit_;  // null: answers are passed on as they come
     bool closing_ = false, ended_ = false;
 };
 
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -40,6 +40,10 @@
     Duration last_request{};  ///< and the requests on them are taken for this much longer, at least
     Duration answers_end{};   ///< all that was taken is answered by then
     Duration last_answers{};  ///< and no more requests are taken for so long before that
+    /// The process ends soon after `answers_end`, whatever is under way. Answers to requests whose deadline
+    /// is later are held until they are whole, up to so many bytes in all; those that are not whole at
+    /// `answers_end` are given up. 0: answers are passed on as they come.
+    std::size_t max_held_bytes = 0;
 };
 
 /// An answer without the desk.
--- a/src/proxy/graceful_shutdown.cpp
+++ b/src/proxy/graceful_shutdown.cpp
@@ -42,6 +42,12 @@
                           {"client_bytes", std::to_string(clients.unsent_bytes)},
                           {"proxy_requests", std::to_string(proxies.requests)},
                           {"proxy_bytes", std::to_string(proxies.unsent_bytes)}});
+    const std::size_t cut = clients.awaited_answers + proxies.awaited_answers;
+    if (cut > 0) {
+        event_log::log_event(event_log::Event::AnswersCut, "answers cut by the exit",
+                             {{"clients", std::to_string(clients.awaited_answers)},
+                              {"proxies", std::to_string(proxies.awaited_answers)}});
+    }
     parts_.loop.stop();
 }
 
--- a/src/proxy/http_fields.h
+++ b/src/proxy/http_fields.h
@@ -23,6 +23,9 @@
 
 /// Bytes of an Attempt-Id; a longer one is a bad request.
 inline constexpr std::size_t kMaxAttemptIdBytes = 128;
+/// Answers that a listener holds during a shutdown: a twentieth of the memory of the smallest machines.
+inline constexpr std::size_t kMaxHeldAnswerBytes = 8 * 1024 * 1024;
+
 /// A Time-Remaining beyond a day is a bad request.
 inline constexpr std::int64_t kMaxTimeRemainingMs = 24LL * 3600 * 1000;
 
--- a/src/proxy/inbound_protocol.cpp
+++ b/src/proxy/inbound_protocol.cpp
@@ -42,7 +42,7 @@
 
 DrainTimes HopServerProtocol::drain_times() const {
     const Duration end = settings_.bounds.grace - 300ms;
-    return {end * 45 / 100, 100ms, end, end / 2};
+    return {end * 45 / 100, 100ms, end, end / 2, kMaxHeldAnswerBytes};
 }
 
 std::string HopServerProtocol::queue_wait_text() const {
--- a/src/proxy/outbound_protocol.cpp
+++ b/src/proxy/outbound_protocol.cpp
@@ -60,7 +60,7 @@
     // Its endpoint has ended; clients leave once readiness says so. All is answered a little before SIGKILL.
     // The process ends as soon as no request is in flight: the machine may be wanted again.
     const Duration end = settings_.bounds.grace - 500ms;
-    return {end * 45 / 100, 100ms, end, end / 2};
+    return {end * 45 / 100, 100ms, end, end / 2, kMaxHeldAnswerBytes};
 }
 
 std::variant<const mesh_config::Tenant*, TurnAway> OutboundServerProtocol::authenticate(
--- a/tests/mesh/front_test.cpp
+++ b/tests/mesh/front_test.cpp
@@ -1,8 +1,10 @@
-// Draining of Http1Front: it calls back once, and not before all accepted requests are answered.
+// Draining of Http1Front: it calls back once, and not before all accepted requests are answered. With a bound
+// for held answers it begins none that could break off at the process's end.
 #include "http1/front.h"
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <boost/asio/write.hpp>
 
 #include "http1/protocol.h"
@@ -13,22 +15,22 @@
 
 struct Fixture : ServerProtocol, Desk {
     const FrontLimits& limits() const override { return limits_; }
-    DrainTimes drain_times() const override { return {1ms, 1ms, 2ms, 1ms}; }
+    DrainTimes drain_times() const override { return times; }
     std::variant<decision::Request, TurnAway> read(Fields&, Time arrived) override {
         decision::Request request;
         request.id = "1";
-        request.deadline = arrived + 10s;
+        request.deadline = arrived + time_left;
         return request;
     }
-    void write(const Answer&, const decision::RequestId&, http::response_header<>& head) override {
-        head.result(200);
+    void write(const Answer& answer, const decision::RequestId&, http::response_header<>& head) override {
+        if (answer.kind == Answer::Kind::Served) head.result(200);
     }
     bool take(decision::Request, std::shared_ptr<const Message>, Reply reply) override {
         pending_reply = std::move(reply);
         return true;
     }
     void received(const decision::RequestId&, Time) override {}
-    void leave(const decision::RequestId&) override {}
+    void leave(const decision::RequestId&) override { ++left; }
 
     template <class Condition>
     void wait_for(Condition condition) {
@@ -44,6 +46,55 @@
     Counters counters;
     FrontLimits limits_;
     Reply pending_reply;
+    DrainTimes times{1ms, 1ms, 2ms, 1ms};
+    Duration time_left{10s};
+    int left = 0;
+};
+
+/// A front in a drain, with one request whose answer is still to come.
+struct HoldFixture : Fixture {
+    HoldFixture(Duration answers_end, std::size_t max_held_bytes) {
+        times = {1ms, 1ms, answers_end, 1ms, max_held_bytes};
+    }
+    /// A request is taken, and the drain begins.
+    void begin() {
+        front.listen(*parse_address("127.0.0.1:0"));
+        client.connect(front.listens_at());
+        asio::write(client,
+                    asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+        wait_for([this] { return static_cast<bool>(pending_reply); });
+        front.drain([] {}, false);
+        read();
+    }
+    /// The answer's first bytes come, and those of `rest` later.
+    void answer(const std::string& first, std::optional<std::uint64_t> length = {}) {
+        Answer answer{Answer::Kind::Served, first, "", {}};
+        answer.rest = rest;
+        answer.length = length;
+        pending_reply(std::move(answer));
+    }
+    void read() {
+        client.async_read_some(asio::buffer(chunk), [this](const error_code& error, std::size_t size) {
+            received.append(chunk.data(), size);
+            if (error) {
+                ended = true;
+            } else {
+                read();
+            }
+        });
+    }
+    void wait_for_end() {
+        wait_for([this] { return ended; });
+        error_code ignored;
+        client.close(ignored);
+    }
+
+    Http1Front front{loop, *this, *this, 16, [] { return true; }, counters};
+    asio::ip::tcp::socket client{loop.io()};
+    std::shared_ptr<Pipe> rest = std::make_shared<Pipe>(1000);
+    std::array<char, 512> chunk{};
+    std::string received;
+    bool ended = false;
 };
 
 }  // namespace
@@ -85,3 +136,77 @@
     for (int i = 0; i < 20; ++i) fixture.wait_for([] { return true; });
     CHECK(ended == 1);
 }
+
+TEST_CASE("held answer: nothing is written before the last byte has come, then all of it with its length") {
+    HoldFixture fixture(5s, 1000);
+    fixture.begin();
+    fixture.answer("first ", 10);
+    fixture.rest->put("la");
+    for (int i = 0; i < 20; ++i) fixture.wait_for([] { return true; });
+    CHECK(fixture.received.empty());
+    CHECK(fixture.front.backlog().awaited_answers == 1);
+    fixture.rest->put("st");
+    fixture.rest->finish();
+    fixture.wait_for_end();
+    CHECK(fixture.received.starts_with("HTTP/1.1 200"));
+    CHECK(fixture.received.find("Content-Length: 10\r\n") != std::string::npos);
+    CHECK(fixture.received.ends_with("\r\n\r\nfirst last"));
+    CHECK(fixture.front.backlog().awaited_answers == 0);
+}
+
+TEST_CASE("held answer: one whose rest breaks off is answered 502, never a part of it") {
+    HoldFixture fixture(5s, 1000);
+    fixture.begin();
+    fixture.answer("first");
+    fixture.rest->fail();
+    fixture.wait_for_end();
+    CHECK(fixture.received.starts_with("HTTP/1.1 502"));
+    CHECK(fixture.received.find("first") == std::string::npos);
+}
+
+TEST_CASE("held answer: one that is not whole at the end of the drain is given up with 502") {
+    HoldFixture fixture(30ms, 1000);
+    fixture.begin();
+    fixture.answer("first");
+    fixture.wait_for_end();
+    CHECK(fixture.received.starts_with("HTTP/1.1 502"));
+    CHECK(fixture.rest->unread());
+}
+
+TEST_CASE(
+    "end of the drain: a request that has no answer at all is given up with 502, and its desk is told") {
+    HoldFixture fixture(30ms, 1000);
+    fixture.begin();
+    fixture.wait_for_end();
+    CHECK(fixture.received.starts_with("HTTP/1.1 502"));
+    CHECK(fixture.left == 1);
+    fixture.answer("late");  // nobody is there any more
+    CHECK(fixture.rest->unread());
+}
+
+TEST_CASE("held answer: what exceeds the bound is passed on as it comes, with all its bytes") {
+    for (const std::optional<std::uint64_t> length : {std::optional<std::uint64_t>{}, {12}}) {
+        HoldFixture fixture(5s, 8);
+        fixture.begin();
+        fixture.answer("abc", length);
+        fixture.rest->put("defghijkl");
+        fixture.wait_for([&] { return !fixture.received.empty(); });
+        fixture.rest->finish();
+        fixture.wait_for_end();
+        CHECK(fixture.received.starts_with("HTTP/1.1 200"));
+        // In chunks where the length is not known.
+        const std::string body = fixture.received.substr(fixture.received.find("\r\n\r\n") + 4);
+        CHECK(body == (length ? "abcdefghijkl" : "c\r\nabcdefghijkl\r\n0\r\n\r\n"));
+    }
+}
+
+TEST_CASE("held answer: none is held where its deadline is over before the drain is") {
+    HoldFixture fixture(5s, 1000);
+    fixture.time_left = 2s;
+    fixture.begin();
+    fixture.answer("first ");
+    fixture.wait_for([&] { return !fixture.received.empty(); });
+    CHECK(fixture.received.starts_with("HTTP/1.1 200"));
+    fixture.rest->finish();
+    fixture.wait_for_end();
+}
