Exit without static destructors; soak of planned stops under overlapping faults

Change: bootstrap::exit_process() ends both programs once all else is destroyed, after the leak check in sanitized builds. mesh_soak: real proxies restarted by plan under downloads, killed, frozen, cut off and robbed of answers meanwhile; a line MG105 in any log fails it; tests/long/shutdown_soak.sh plays many seeds.

--- a/src/bootstrap/program.cpp
+++ b/src/bootstrap/program.cpp
@@ -4,11 +4,16 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <random>
 
 #include "event_log/event_log.h"
 
+#ifdef __SANITIZE_ADDRESS__
+#include <sanitizer/lsan_interface.h>
+#endif
+
 namespace martenford::bootstrap {
 namespace {
 
@@ -74,6 +79,14 @@
     return std::move(settings);
 }
 
+void exit_process(int code) {
+#ifdef __SANITIZE_ADDRESS__
+    __lsan_do_leak_check();  // it runs in a static destructor otherwise
+#endif
+    std::cout.flush();
+    std::_Exit(code);
+}
+
 std::uint64_t random_nonzero_id() {
     std::random_device device;
     const auto high = static_cast<std::uint64_t>(device());
--- a/src/controller/main.cpp
+++ b/src/controller/main.cpp
@@ -34,8 +34,10 @@
     if (const auto* exit_code = std::get_if<bootstrap::ExitCode>(&started)) return exit_code->value;
     const auto& settings = std::get<bootstrap::Settings>(started);
 
-    controller::Controller controller(
-        settings, controller::open_register(settings.data_directory, start_conditions(settings)));
-    controller.run();
-    return 0;
+    {
+        controller::Controller controller(
+            settings, controller::open_register(settings.data_directory, start_conditions(settings)));
+        controller.run();
+    }
+    bootstrap::exit_process(0);
 }
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -24,7 +24,9 @@
     const auto started = martenford::bootstrap::start_program(
         argc, argv, {"martenford-proxy", "the data plane, beside one endpoint", required_settings});
     if (const auto* exit_code = std::get_if<ExitCode>(&started)) return exit_code->value;
-    martenford::proxy::Proxy proxy(std::get<Settings>(started));
-    proxy.run();
-    return 0;
+    {
+        martenford::proxy::Proxy proxy(std::get<Settings>(started));
+        proxy.run();
+    }
+    martenford::bootstrap::exit_process(0);
 }
--- a/tests/mesh/rig/shutdown_world.cpp
+++ b/tests/mesh/rig/shutdown_world.cpp
@@ -315,6 +315,10 @@
             found.push_back("KILLED: " + proxy_name(stop.proxy) + " did not end within the grace period");
     }
     for (const std::string& exit : processes_.unexpected_exits()) found.push_back("EXIT: " + exit);
+    // Of the program's own invariants, whatever faults there were.
+    std::istringstream lines(logs());
+    for (std::string line; std::getline(lines, line);)
+        if (line.find(" MG105 ") != line.npos) found.push_back("INVARIANT: " + line);
     return found;
 }
 
--- /dev/null
+++ b/tests/mesh/soak_test.cpp
@@ -0,0 +1,92 @@
+// Soak: real proxies that are restarted by plan while clients download through them, and meanwhile killed,
+// frozen, cut off, and robbed of answers, two or three troubles at a time. Checks what clients saw, and that
+// no process reported a violated invariant (MG105). Three seeds; tests/long/shutdown_soak.sh plays many and
+// longer ones. MARTENFORD_SEED selects one, MARTENFORD_SPAN its length in seconds.
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <string>
+
+#include "mesh/rig/shutdown_world.h"
+
+using namespace martenford;
+using namespace martenford::rig;
+
+namespace {
+
+constexpr std::size_t kProxies = 4;
+constexpr std::size_t kConnectionsPerProxy = 6;
+
+std::uint64_t from_environment(const char* name, std::uint64_t default_value) {
+    const char* value = std::getenv(name);
+    return value ? std::strtoull(value, nullptr, 10) : default_value;
+}
+
+/// Planned stops throughout; unplanned faults in every other step, drawn from the seed.
+class Soak {
+  public:
+    Soak(std::uint64_t seed, Duration span) : world_(seed, kProxies), random_(seed), span_(span) {}
+
+    void run() {
+        world_.start();
+        // From whole in some ten milliseconds to longer than the grace period.
+        const std::size_t pieces[] = {0, 20'000, 2'500, 1'000};
+        world_.set_answers(100'000, pieces[below(4)]);
+        world_.start_clients(kConnectionsPerProxy, 1500ms * static_cast<int>(1 + below(3)));
+        for (Duration passed{}; passed < span_;) {
+            const Duration pause = 100ms * static_cast<int>(2 + below(8));
+            world_.run_for(pause);
+            passed += pause;
+            world_.restart_by_plan(below(kProxies));
+            // Quiet stretches, in which the rules of planned work hold, between troubled ones.
+            if (passed < span_ / 3 || passed > span_ * 2 / 3) continue;
+            for (std::size_t count = 1 + below(2); count > 0; --count) trouble();
+        }
+        world_.stop_clients();
+        world_.settle();
+    }
+    ShutdownWorld& world() { return world_; }
+
+  private:
+    std::size_t below(std::size_t end) { return random_() % end; }
+    void trouble() {
+        const Duration lasts = 100ms * static_cast<int>(2 + below(10));
+        const std::size_t proxy = below(kProxies);
+        switch (below(5)) {
+            case 0:
+                return world_.kill(proxy, lasts);
+            case 1:
+                return world_.freeze(proxy, lasts);
+            case 2:
+                return world_.cut(proxy, lasts);
+            case 3:
+                return world_.lose_answers(proxy, lasts);
+            default:
+                return world_.kill_controller(lasts);
+        }
+    }
+
+    ShutdownWorld world_;
+    std::mt19937_64 random_;
+    const Duration span_;
+};
+
+void check(std::uint64_t seed, Duration span) {
+    Soak soak(seed, span);
+    soak.run();
+    const auto violations = soak.world().violations();
+    std::cout << "seed " << seed << ": " << soak.world().summary() << "\n";
+    std::string text;
+    for (const std::string& violation : violations) text += violation + "\n";
+    CHECK_MESSAGE(violations.empty(), "seed " << seed << "\n" << text << soak.world().logs());
+}
+
+}  // namespace
+
+TEST_CASE("soak: planned stops under downloads and overlapping faults") {
+    const Duration span = 1s * from_environment("MARTENFORD_SPAN", 6);
+    if (const auto seed = from_environment("MARTENFORD_SEED", 0); seed != 0) return check(seed, span);
+    for (const std::uint64_t seed : {1, 2, 3}) check(seed, span);
+}
