--- a/src/event_log/event_catalogue.cpp
+++ b/src/event_log/event_catalogue.cpp
@@ -32,8 +32,11 @@
          "listeners "
          "were drained, how long that took, and what was still owed to clients and to other proxies."},
         {Event::AnswersCut, "MG105", "program.answers_cut", nullptr, Severity::Error, 10,
-         "A proxy exits though requests that it read whole, and whose deadline is not reached, have no whole "
-         "answer. The line counts them. This must not happen."},
+         "A proxy exits though requests that it read whole have no whole answer, their deadline is not "
+         "reached and "
+         "no answer was begun before the shutdown. The line counts them. Unless a client or another proxy "
+         "was "
+         "frozen or cut off, this must not happen."},
         {Event::ConfigAccepted, "MG201", "config.accepted", "charter.taken", Severity::Info, 60,
          "The controller committed a configuration and acknowledged it to the operator."},
         {Event::ConfigRejected, "MG202", "config.rejected", "charter.refused", Severity::Warning, 60,
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -188,7 +188,7 @@
 }
 
 void ClientConnection::expect_body() {
-    if (!framed_clearly(parser_->get().base())) return;  // taken() says so
+    if (!framed_clearly(parser_->get().base())) return;  // handle_request() rejects it
     if (!boost::beast::iequals(parser_->get()[http::field::expect], "100-continue") ||
         std::exchange(continue_sent_, true) || parser_->get().version() < 11 || buffer_.size() > 0 ||
         received_ > 0) {
--- a/src/http1/held_answer.cpp
+++ b/src/http1/held_answer.cpp
@@ -22,19 +22,19 @@
     const std::size_t bytes = answer_.length.value_or(answer_.body.size());
     if (!limit_.add(bytes)) return end(End::LimitReached);
     counted_bytes_ = bytes;
-    answer_.rest->on_more([this] { read(); });
     read();
 }
 
 void HeldAnswer::read() {
-    const auto rest = answer_.rest;
-    while (ended_ && !rest->empty()) {
-        if (!append(rest->take())) return end(End::LimitReached);
+    Pipe& rest = *answer_.rest;
+    // Not called from within take(), which may let the writer go on: this object could be destroyed there.
+    rest.on_more(nullptr);
+    while (!rest.empty()) {
+        if (!append(rest.take())) return end(End::LimitReached);
     }
-    // take() may have let the writer go on, and end the pipe, from within.
-    if (!ended_) return;
-    if (rest->state() == Pipe::State::Whole) return end(End::Whole);
-    if (rest->state() == Pipe::State::Broken) return end(End::Broken);
+    if (rest.state() == Pipe::State::Whole) return end(End::Whole);
+    if (rest.state() == Pipe::State::Broken) return end(End::Broken);
+    rest.on_more([this] { read(); });
 }
 
 bool HeldAnswer::append(std::string&& piece) {
@@ -48,7 +48,6 @@
 
 void HeldAnswer::end(End how) {
     const Callback ended = std::exchange(ended_, nullptr);
-    answer_.rest->on_more(nullptr);
     if (how == End::Whole) {
         answer_.rest.reset();
         answer_.length.reset();
--- a/tests/mesh/front_test.cpp
+++ b/tests/mesh/front_test.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <boost/asio/write.hpp>
 
+#include "http1/held_answer.h"
 #include "http1/protocol.h"
 
 using namespace martenford;
@@ -210,3 +211,26 @@
     fixture.rest->finish();
     fixture.wait_for_end();
 }
+
+TEST_CASE("held answer: a writer that goes on while it is read loses nothing") {
+    HoldLimit limit(1000);
+    Answer answer{Answer::Kind::Served, "a", "", {}};
+    const auto rest = answer.rest = std::make_shared<Pipe>(1);
+    std::string still_to_come = "cde";
+    rest->on_room([&] {
+        if (still_to_come.empty()) return rest->finish();
+        rest->put(still_to_come.substr(0, 1));
+        still_to_come.erase(0, 1);
+    });
+    auto held = std::make_unique<HeldAnswer>(std::move(answer), limit);
+    std::string body;
+    held->start([&](HeldAnswer::End end) {
+        CHECK(end == HeldAnswer::End::Whole);
+        const auto ended = std::exchange(held, nullptr);
+        body = ended->take().body;
+    });
+    rest->put("b");
+    CHECK(body == "abcde");
+    CHECK(held == nullptr);
+    CHECK(limit.held_bytes() == 0);
+}
