http1: ClientBacklog without a figure that nobody reads

Change: the field and its assignment are taken out; no logic. Measured: rebuilt; the drain and hold cases of mesh (11) and mesh_shutdown pass.

--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -188,7 +188,6 @@
 ClientBacklog Http1Front::backlog() const {
     ClientBacklog backlog;
     backlog.requests = busy_.size();
-    backlog.connections = held();
     for (const Clients* clients : {&waiting_, &begun_, &busy_}) {
         for (const auto& entry : *clients) {
             const auto client = entry.lock();
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -24,7 +24,6 @@
 struct ClientBacklog {
     std::size_t requests = 0;         ///< taken, and their answers not written whole
     std::size_t awaited_answers = 0;  ///< of these: read whole, in time, and none begun before the drain
-    std::size_t connections = 0;      ///< open
     std::uint64_t unsent_bytes = 0;   ///< written, and not acknowledged by the client's kernel
 };
 
