Test: late second answers are taken for the answers that are due (known red)

Cause: an endpoint that turned a request away may send a second, late answer to it. The request comes to the same endpoint once more on the kept connection, with the id it had; the late answer bears that id and is taken.

--- a/tests/mesh/hop_doubles.h
+++ b/tests/mesh/hop_doubles.h
@@ -28,6 +28,7 @@
     unsigned status = 0;
     std::string id, body;
     bool has_trailer_field = false;  // a trailer field became a header field
+    std::string seal;
 };
 struct ClientRequest {
     bool idempotent = false;
@@ -106,11 +107,28 @@
           random_(random),
           history_(history),
           faults_enabled_(faults_enabled),
-          listener_(loop, [this](tcp::socket socket) { read(std::make_shared<Stream>(std::move(socket))); }) {
-    }
+          listener_(loop, [this](tcp::socket socket) {
+              ++connections;
+              read(std::make_shared<Stream>(std::move(socket)));
+          }) {}
+    /// How one arrival of a request is answered.
+    struct Script {
+        std::string response;  ///< sent after `delay`
+        bool executes = true;  ///< the arrival counts as an execution
+        Duration delay{};      ///< from the arrival
+        std::string
+            late_response;  ///< sent on the same connection, `late_after` after the response; or empty
+        Duration late_after{};
+        bool closes = false;  ///< the connection, after the late response
+    };
+    /// @param arrival of this id at this endpoint, counted from 1
+    using ScriptFunction = std::function<Script(const std::string& id, int arrival)>;
+
     [[nodiscard]] Address address() const { return listener_.address(); }
     std::optional<Behavior> fixed_behavior;  // empty: Serve, or a random one if faults are enabled
+    ScriptFunction script;                   // where it is set, no behavior applies
     http::request<http::string_body> last_request;
+    int connections = 0;  // accepted so far
 
   private:
     struct Stream {
@@ -139,6 +157,7 @@
     void handle(const StreamPtr& stream) {
         const std::string id(stream->request["Attempt-Id"]);
         last_request = stream->request;
+        if (script) return follow_script(stream, id);
         const Behavior behavior = choose_behavior();
         if (behavior == Behavior::Reject) return respond(stream, reject_text(id));
         ++history_.executions[id];
@@ -162,6 +181,19 @@
                 return serve(stream, id, behavior);
         }
     }
+    void follow_script(const StreamPtr& stream, const std::string& id) {
+        const Script step = script(id, ++arrivals_[id]);
+        if (step.executes) ++history_.executions[id];
+        loop_.add(loop_.now() + step.delay, [this, stream, step] {
+            respond(stream, step.response);
+            if (step.late_response.empty()) return;
+            loop_.add(loop_.now() + step.late_after, [this, stream, step] {
+                write(stream, step.late_response, [stream, step] {
+                    if (step.closes) stream->socket.close();
+                });
+            });
+        });
+    }
     void serve(const StreamPtr& stream, const std::string& id, Behavior behavior) {
         const std::string response = served_text(id);
         switch (behavior) {
@@ -229,6 +261,7 @@
     Random& random_;
     History& history_;
     const bool& faults_enabled_;
+    std::map<std::string, int> arrivals_;
     Listener listener_;
 };
 
--- a/tests/mesh/hop_world.h
+++ b/tests/mesh/hop_world.h
@@ -180,6 +180,7 @@
 
     Loop& loop() { return loop_; }
     proxy::HopClientProtocol& hop_protocol() { return hop_protocol_; }
+    ServerProtocol& server_protocol() { return outbound_; }
     History history;
     bool faults_enabled = false;
 
@@ -195,7 +196,7 @@
     };
     static ClientResponse response_of(const http::response<http::string_body>& answer) {
         return {answer.result_int(), std::string(answer["Attempt-Id"]), answer.body(),
-                answer.count("X-Trailer") > 0};
+                answer.count("X-Trailer") > 0, std::string(answer["Server-Seal"])};
     }
     void send_next(const std::shared_ptr<Client>& client) {
         if (client->remaining-- == 0) {
--- /dev/null
+++ b/tests/mesh/late_answer_test.cpp
@@ -0,0 +1,195 @@
+// Second answers that come late, on a connection where another answer is expected by then: each must be
+// recognized for what it is, wherever the Attempt-Id alone does not tell (docs/incidents/mixed.md).
+#include <doctest/doctest.h>
+
+#include <string>
+#include <utility>
+
+#include "hop_world.h"
+
+using namespace martenford;
+using namespace martenford::hop_world;
+
+namespace {
+
+/// The late answer comes while the second arrival of its request is at work.
+constexpr Duration kLateAfter = 40ms;
+constexpr Duration kServiceTime = 120ms;
+
+std::string success(const std::string& id, const std::string& seal, const std::string& body = "body") {
+    return response_text("200 OK", id, "Server-Seal: " + seal + "\r\n", body);
+}
+std::string rejection(const std::string& id) {
+    return response_text("503 Full", id, "Not-Executed: 1\r\n", "");
+}
+
+/// Rejects the first arrival of each request and sends `late_response` to it; serves all further ones.
+Endpoint::ScriptFunction reject_first_then(std::function<std::string(const std::string& id)> late_response) {
+    return [late_response = std::move(late_response)](const std::string& id, int arrival) {
+        Endpoint::Script script;
+        script.executes = arrival > 1;
+        if (arrival > 1) {
+            script.response = success(id, "own");
+            script.delay = kServiceTime;
+        } else {
+            script.response = rejection(id);
+            script.late_response = late_response(id);
+            script.late_after = kLateAfter;
+        }
+        return script;
+    };
+}
+
+/// Passes requests on to nobody; the test answers them.
+struct ListenerFixture : Desk {
+    ListenerFixture() { front.listen(*parse_address("127.0.0.1:0")); }
+    bool take(decision::Request, std::shared_ptr<const Message>, Reply reply) override {
+        replies.push_back(std::move(reply));
+        return true;
+    }
+    void received(const decision::RequestId&, Time) override {}
+    void leave(const decision::RequestId&) override {}
+
+    /// Sends one more request on the client's connection, and waits until it was taken.
+    void send(const std::string& id) {
+        if (!client.is_open()) client.connect(front.listens_at());
+        asio::write(client, asio::buffer(World::request_text(id, true)));
+        const std::size_t taken = replies.size() + 1;
+        run_until([&] { return replies.size() == taken; });
+    }
+    /// Returns what the client received by 60 ms from now.
+    std::string receive() {
+        const Time end = world.loop().now() + 60ms;
+        run_until([&] { return world.loop().now() >= end; });
+        std::string text(client.available(), '\0');
+        asio::read(client, asio::buffer(text));
+        return text;
+    }
+    template <class Condition>
+    void run_until(Condition condition) {
+        REQUIRE(world.wait_for(condition, 5s));
+    }
+    static Answer answer_to(const std::string& id, const std::string& seal) {
+        auto head = std::make_shared<HttpAnswerHead>();
+        head->status = 200;
+        head->fields.set("Attempt-Id", id);
+        head->fields.set("Server-Seal", seal);
+        Answer answer{Answer::Kind::Served, "body of " + id, "", {}};
+        answer.head = std::move(head);
+        return answer;
+    }
+
+    World world{1, 0};  // its loop, and its protocol for clients
+    Counters counters;
+    std::vector<Reply> replies;  // of the requests, in the order in which they were taken
+    Http1Front front{world.loop(), *this, world.server_protocol(), 16, [] { return true; }, counters};
+    tcp::socket client{world.loop().io()};
+};
+
+}  // namespace
+
+TEST_CASE("a request that is offered again does not get a late success to its rejected first arrival") {
+    for (const bool idempotent : {true, false}) {
+        CAPTURE(idempotent);
+        World world(1, 1);
+        Endpoint& endpoint = world.inbound_proxies[0]->endpoint;
+        endpoint.script = reject_first_then([](const std::string& id) { return success(id, "foreign"); });
+        const auto response = world.send_once(World::request_text("a", idempotent));
+        REQUIRE(response);
+        CHECK(response->status == 200);
+        CHECK(response->seal == "own");
+        CHECK(world.history.executions["a"] == 1);
+    }
+}
+
+TEST_CASE("a late rejection of a request's first arrival is no proof that its second one did not run") {
+    for (const bool idempotent : {true, false}) {
+        CAPTURE(idempotent);
+        World world(1, 1);
+        Endpoint& endpoint = world.inbound_proxies[0]->endpoint;
+        endpoint.script = reject_first_then(rejection);
+        const auto response = world.send_once(World::request_text("a", idempotent));
+        REQUIRE(response);
+        CHECK(response->status == 200);
+        CHECK(world.history.executions["a"] == 1);
+    }
+}
+
+TEST_CASE("late answers to earlier requests leave a connection usable for others") {
+    World world(1, 1);
+    Endpoint& endpoint = world.inbound_proxies[0]->endpoint;
+    endpoint.script = [](const std::string& id, int) {
+        Endpoint::Script script;
+        script.response = success(id, id);
+        script.delay = id == "a" ? Duration{} : kServiceTime;
+        script.late_response = id == "a" ? success(id, id, std::string(90'000, 'x')) : "";
+        script.late_after = kLateAfter;
+        return script;
+    };
+    REQUIRE(world.send_once(World::request_text("a", true)));
+    const auto response = world.send_once(World::request_text("b", false));
+    REQUIRE(response);
+    CHECK(response->status == 200);
+    CHECK(response->seal == "b");
+    CHECK(endpoint.connections == 1);
+}
+
+TEST_CASE("a health probe is not decided by a late answer to an earlier request") {
+    World world(1, 1);
+    Endpoint& endpoint = world.inbound_proxies[0]->endpoint;
+    endpoint.script = [](const std::string& id, int) {
+        Endpoint::Script script;
+        const bool is_probe = id.empty();
+        script.response =
+            is_probe ? response_text("200 OK", "", "Instance-Id: i-1\r\n", "") : success(id, id);
+        script.delay = is_probe ? kServiceTime : Duration{};
+        script.late_response = is_probe ? "" : success(id, id);
+        script.late_after = kLateAfter;
+        return script;
+    };
+    REQUIRE(world.send_once(World::request_text("a", true)));
+    std::optional<decision::Status> health;
+    world.inbound_proxies[0]->to_endpoint.probe(decision::EndpointId{1},
+                                                [&](Result&& result) { health = result.status; });
+    REQUIRE(world.wait_for([&] { return health.has_value(); }, 5s));
+    CHECK(*health == decision::Status::Ok);
+}
+
+TEST_CASE("a second answer behind one without a length does not become the end of a whole body") {
+    World world(1, 1);
+    world.inbound_proxies[0]->endpoint.script = [](const std::string& id, int) {
+        Endpoint::Script script;
+        script.response = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Seal: own\r\n\r\n" +
+                          std::string(90'000, 'x');
+        script.late_response = success(id, "foreign");
+        script.late_after = kLateAfter;
+        script.closes = true;
+        return script;
+    };
+    const auto response = world.send_once(World::request_text("a", true));
+    CHECK_FALSE((response && response->status == 200));
+}
+
+TEST_CASE("a listener gives an earlier request's answer to no later request on its connection") {
+    ListenerFixture listener;
+    listener.send("a");
+    listener.replies[0](ListenerFixture::answer_to("a", "1"));
+    CHECK(listener.receive().find("body of a") != std::string::npos);
+    listener.send("b");
+    listener.replies[0](ListenerFixture::answer_to("a", "1"));
+    CHECK(listener.receive().empty());
+    listener.replies[1](ListenerFixture::answer_to("b", "2"));
+    const std::string received = listener.receive();
+    CHECK(received.find("body of a") == std::string::npos);
+    CHECK(received.find("body of b") != std::string::npos);
+}
+
+TEST_CASE("a listener withholds an endpoint's answer that bears another request's Attempt-Id") {
+    ListenerFixture listener;
+    listener.send("b");
+    listener.replies[0](ListenerFixture::answer_to("a", "1"));
+    const std::string received = listener.receive();
+    CHECK(received.find("Server-Seal") == std::string::npos);
+    CHECK(received.find("body of a") == std::string::npos);
+    CHECK(received.starts_with("HTTP/1.1 502 "));
+}
