--- a/src/event_log/event_log.h
+++ b/src/event_log/event_log.h
@@ -40,7 +40,8 @@
     QuorumContactLost,
     QuorumContactRestored,
     NoConfig,
-    RequestTotals
+    RequestTotals,
+    AnswerWithheld
 };
 
 enum class Severity : std::uint8_t { Info, Warning, Error };
--- a/src/http1/back.cpp
+++ b/src/http1/back.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "core/transport.h"
+#include "http1/exchange_record.h"
 #include "http1/protocol.h"
 
 namespace martenford {
@@ -58,12 +59,18 @@
         done_ = std::move(done);
         limit_.cancel();
         end_at(end);
+        if (message_) exchanges_.add(pool_.protocol_.exchange_name(*message_));
         if (stage_ == Stage::Connecting) {
             connect();
         } else {
             write();
         }
     }
+    /// Whether it has carried no attempt of this request. Guards against a late answer to that attempt, which
+    /// names this request too.
+    bool may_carry(const HttpMessage& message) const {
+        return !exchanges_.contains(pool_.protocol_.exchange_name(message));
+    }
     /// Whether it can carry a request: the endpoint has neither closed it nor said anything unasked. Guards
     /// against taking what is left of an earlier answer for the answer to the next request.
     bool clean() {
@@ -210,6 +217,7 @@
             const auto status = classify();
             if (status) return answered(*status, clean_end());
             // Guards against taking a late or surplus answer of an earlier request for the one to this.
+            pool_.skipped_.add();
             if (++interim_ > kMostInterim || !parser_->keep_alive()) return finish(Status::Reset);
             renew(parser_);
             return buffer_.size() > 0 ? parse() : void();
@@ -227,7 +235,11 @@
         if (*status != Status::Ok) return finish(*status);  // its words are no use
         begin_passing();
     }
-    bool clean_end() { return parser_->keep_alive() && buffer_.size() == 0 && clean(); }
+    /// Whether the connection may carry another request: the answer ended where it should, and nothing came
+    /// before its request was written.
+    bool clean_end() {
+        return parser_->keep_alive() && buffer_.size() == 0 && !broken_ && !exchanges_.full() && clean();
+    }
 
     std::optional<Status> classify() { return pool_.protocol_.classify(parser_->get(), message_.get(), id); }
     std::shared_ptr<const AnswerHead> head_of(const http::response<PieceBody>& answer) const {
@@ -351,6 +363,7 @@
     std::shared_ptr<Http1Back::Outgoing> outgoing_;
     std::shared_ptr<Pipe> rest_;  // of the answer that passes through
     Back::Done done_;
+    ExchangeRecord exchanges_;
 };
 
 Http1Back::Http1Back(Loop& loop, ClientProtocol& protocol, const decision::Limits& limits, std::size_t most,
@@ -363,7 +376,8 @@
       opened_(counters.counter("connections.opened", "connections that were begun to endpoints")),
       evicted_(counters.counter("connections.evicted", "idle ones closed to make room for another")),
       no_room_(counters.counter("connections.no_room", "attempts not sent for want of a connection")),
-      written_(counters.counter("attempts.written", "attempts whose last byte was written")) {
+      written_(counters.counter("attempts.written", "attempts whose last byte was written")),
+      skipped_(counters.counter("answers.skipped", "answers to another request than the one that waited")) {
     counters.gauge("connections.open", "to endpoints", [this] { return static_cast<double>(count_); });
     counters.gauge("connections.idle", "of them, carrying nothing",
                    [this] { return static_cast<double>(by_idle_time_.size()); });
@@ -411,7 +425,7 @@
 Back::Handle Http1Back::start(EndpointId id, std::shared_ptr<const HttpMessage> message,
                               std::shared_ptr<Outgoing> outgoing, Time end, Done done) {
     const auto pool = pools_.find(id);
-    auto connection = pool == pools_.end() ? nullptr : take(id, pool->second);
+    auto connection = pool == pools_.end() ? nullptr : take(id, pool->second, message.get());
     if (!connection) {
         // Guards against blaming the endpoint for our own lack of places, or for having left the list.
         Result result;
@@ -429,14 +443,21 @@
     }
 }
 
-std::shared_ptr<Connection> Http1Back::take(EndpointId id, Pool& pool) {
-    while (!pool.idle.empty()) {
-        auto connection = std::move(pool.idle.back());
-        pool.idle.pop_back();
+std::shared_ptr<Connection> Http1Back::take_idle(Pool& pool, const HttpMessage* message) {
+    for (auto place = pool.idle.end(); place != pool.idle.begin();) {
+        --place;
+        if (message && !(*place)->may_carry(*message)) continue;
+        const auto connection = std::move(*place);
+        place = pool.idle.erase(place);
         by_idle_time_.erase(*std::exchange(connection->idle_place, std::nullopt));
         if (connection->clean()) return connection;
         connection->close();
     }
+    return nullptr;
+}
+
+std::shared_ptr<Connection> Http1Back::take(EndpointId id, Pool& pool, const HttpMessage* message) {
+    if (auto connection = take_idle(pool, message)) return connection;
     if ((per_endpoint_ > 0 && pool.open >= per_endpoint_) || (count_ >= most_ && !make_room())) {
         no_room_.add();
         return nullptr;
--- a/src/http1/back.h
+++ b/src/http1/back.h
@@ -37,6 +37,8 @@
     void shut_idle(EndpointId id) override;
     /// From here on it holds so many; idle ones over that are closed at once, others as they end.
     void hold_at_most(std::size_t most);
+    /// Answers that came where another one was expected, and were skipped.
+    std::uint64_t skipped_answers() const { return skipped_.value(); }
 
   private:
     friend class Connection;
@@ -52,7 +54,11 @@
 
     Handle start(EndpointId id, std::shared_ptr<const HttpMessage> message,
                  std::shared_ptr<Outgoing> outgoing, Time end, Done done);
-    std::shared_ptr<Connection> take(EndpointId id, Pool& pool);
+    /// An idle connection, or a new one; null where there is no room.
+    std::shared_ptr<Connection> take(EndpointId id, Pool& pool, const HttpMessage* message);
+    /// The one used last of those that may carry the message; null where there is none. A null message is a
+    /// probe.
+    std::shared_ptr<Connection> take_idle(Pool& pool, const HttpMessage* message);
     bool make_room();
     bool keeps(const Connection& connection) const;
     void put_back(std::shared_ptr<Connection> connection);
@@ -69,7 +75,7 @@
     std::size_t most_, per_endpoint_, count_ = 0;
     std::unordered_map<EndpointId, Pool> pools_;
     ByIdleTime by_idle_time_;
-    Counter &opened_, &evicted_, &no_room_, &written_;
+    Counter &opened_, &evicted_, &no_room_, &written_, &skipped_;
 };
 
 }  // namespace martenford
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -262,9 +262,10 @@
     id_ = event.id;
     const auto message = take_message(arriving);
     message->class_index = event.class_index;
-    const bool fresh =
-        front_.desk_.take(std::move(event), message,
-                          [self = shared_from_this()](Answer&& answer) { self->answer(std::move(answer)); });
+    auto reply = [self = shared_from_this(), request = ++request_](Answer&& answer) {
+        self->answer(request, std::move(answer));
+    };
+    const bool fresh = front_.desk_.take(std::move(event), message, std::move(reply));
     if (!fresh) return reject(http::status::conflict, keep && !arriving);
     if (stage_ == Stage::Waiting && arriving) await_body();
 }
@@ -315,8 +316,9 @@
     return std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
-void ClientConnection::answer(Answer&& answer) {
-    if (stage_ != Stage::Waiting) {
+void ClientConnection::answer(std::uint64_t request, Answer&& answer) {
+    // Guards against the answer to an earlier request, whose client has gone on to the next one.
+    if (stage_ != Stage::Waiting || request != request_) {
         if (answer.rest) answer.rest->stop_reading();
         return;
     }
@@ -335,7 +337,17 @@
     });
 }
 
+void ClientConnection::withhold(Answer&& answer) {
+    front_.withheld_.add();
+    if (answer.rest) answer.rest->stop_reading();
+    Answer failure;
+    failure.ticket = std::move(answer.ticket);
+    failure.on_written = std::move(answer.on_written);
+    write_answer(std::move(failure));
+}
+
 void ClientConnection::write_answer(Answer&& answer) {
+    if (!front_.protocol_.is_answer_to(answer, id_)) return withhold(std::move(answer));
     Reply::Head head{http::status::bad_gateway, 11};
     front_.protocol_.write(answer, id_, head);
     rest_ = std::move(answer.rest);
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -92,12 +92,15 @@
     /// How long the last byte has been waiting here to be read. Guards against counting the client's time
     /// from when the loop got to its request.
     Duration since_arrival();
-    void answer(Answer&& answer);
+    /// @param request number of the request on this connection that the answer is to.
+    void answer(std::uint64_t request, Answer&& answer);
 
     /// Guards against an answer that breaks off because this process ends: nothing of it is written before
     /// all of it has come. Where it does not come in time, give_up() says so.
     void hold(Answer&& answer);
     void write_answer(Answer&& answer);
+    /// Fails the request whose answer names another one.
+    void withhold(Answer&& answer);
 
     /// Answers without the module.
     void reject(http::status status, bool keep, Duration retry_after = {},
@@ -126,6 +129,7 @@
     bool begun_in_drain_ = false;  // the answer
     std::optional<Parser<true>> parser_;
     decision::RequestId id_;
+    std::uint64_t request_ = 0;     // number of the present request among those that the desk was handed
     unsigned parser_version_ = 11;  // of HTTP, as its client speaks it
     // A body that goes on as it comes.
     std::shared_ptr<Pipe> upload_;
--- /dev/null
+++ b/src/http1/exchange_record.h
@@ -0,0 +1,35 @@
+// The names of the requests that one connection has carried. Pure.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <functional>
+#include <string_view>
+#include <vector>
+
+namespace martenford {
+
+/// Keeps digests: two names with one digest look like the same name, which costs a new connection and nothing
+/// else. Bounded: a connection whose record is full carries no further request.
+class ExchangeRecord {
+  public:
+    /// Eight kilobytes of digests. A new connection for each thousand requests is no load.
+    static constexpr std::size_t kMaxExchanges = 1024;
+
+    /// An empty name is not recorded.
+    void add(std::string_view name) {
+        if (!name.empty()) digests_.push_back(digest_of(name));
+    }
+    [[nodiscard]] bool contains(std::string_view name) const {
+        if (name.empty()) return false;
+        return std::find(digests_.begin(), digests_.end(), digest_of(name)) != digests_.end();
+    }
+    [[nodiscard]] bool full() const { return digests_.size() >= kMaxExchanges; }
+
+  private:
+    static std::size_t digest_of(std::string_view name) { return std::hash<std::string_view>{}(name); }
+
+    std::vector<std::size_t> digests_;
+};
+
+}  // namespace martenford
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -38,7 +38,8 @@
       letting_go_(loop),
       giving_up_(loop),
       room_made_(
-          counters.counter("clients.evicted", "connections without a whole request closed to make room")) {
+          counters.counter("clients.evicted", "connections without a whole request closed to make room")),
+      withheld_(counters.counter("answers.withheld", "answers to another request than the one that waited")) {
     counters.gauge("clients.open", "connections of clients", [this] { return static_cast<double>(held()); });
 }
 Http1Front::~Http1Front() = default;
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -57,6 +57,8 @@
     /// From here on it holds so many; those that carry no request are closed to get there.
     void hold_at_most(std::size_t most);
 
+    /// Answers that named another request than the one that waited, and were withheld.
+    [[nodiscard]] std::uint64_t withheld_answers() const { return withheld_.value(); }
     /// Looks at every connection: for the log of a shutdown, not for each request.
     [[nodiscard]] ClientBacklog backlog() const;
 
@@ -108,7 +110,7 @@
     Timer again_, quiet_, letting_go_, giving_up_;
     std::optional<Time> evacuated_;  // since when
     bool replaced_ = false;
-    Counter& room_made_;
+    Counter &room_made_, &withheld_;
     std::function<void()> drained_;
     Time answers_end_{};                     // after SIGTERM: when all that is taken must be answered
     std::unique_ptr<HoldLimit> hold_limit_;  // null: answers are passed on as they come
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -69,6 +69,9 @@
     /// front's.
     virtual void write(const Answer& answer, const decision::RequestId& id,
                        http::response_header<>& head) = 0;
+    /// Returns false if the answer is an endpoint's and names another request than `id`. Such an answer is
+    /// withheld, and the client told that its request failed.
+    virtual bool is_answer_to(const Answer&, const decision::RequestId&) { return true; }
 };
 
 class ClientProtocol {
@@ -79,6 +82,10 @@
                          Time end) = 0;
     /// Whether the message's body goes out with it now.
     virtual bool carries_body(const HttpMessage&) const { return true; }
+    /// The name by which answers tell which request they answer, where endpoints may answer late or twice.
+    /// A connection carries each name once at most: a late answer to a request's earlier attempt would look
+    /// like the answer to this one. Empty: answers name no request.
+    virtual std::string_view exchange_name(const HttpMessage&) const { return {}; }
     /// The request that asks an endpoint for its health.
     virtual void prepare_probe(http::request_header<>& head) = 0;
     /// How the attempt ended. Nothing: the answer is not to this request, and is passed over.
--- a/src/proxy/inbound_protocol.cpp
+++ b/src/proxy/inbound_protocol.cpp
@@ -22,6 +22,11 @@
 /// Separates an Attempt-Id from the number of its hop in a request's id.
 constexpr char kHopNumberSeparator = '#';
 
+/// The Attempt-Id of the hop's request `id`.
+std::string attempt_id_of(const RequestId& id) {
+    return id.substr(0, id.rfind(kHopNumberSeparator));
+}
+
 /// Returns true for the statuses by which clients know that a request never ran and never will.
 bool proves_not_run(unsigned status) {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -117,7 +122,7 @@
         head.erase(kHopDeliveredField);
         return;
     }
-    head.set(kAttemptId, id.substr(0, id.rfind(kHopNumberSeparator)));
+    head.set(kAttemptId, attempt_id_of(id));
     if (answer.kind == Answer::Kind::Refused) {
         head.result(http::status::service_unavailable);
         head.set(kHopRejectedField, queue_wait_text());
@@ -126,6 +131,10 @@
     }
 }
 
+bool HopServerProtocol::is_answer_to(const Answer& answer, const RequestId& id) {
+    return check_attempt_id(answer, attempt_id_of(id));
+}
+
 // ---- the endpoint ---------------------------------------------------------------------------------
 
 void EndpointClientProtocol::prepare(http::request_header<>& head, const HttpMessage&, EndpointId, Time end) {
@@ -134,6 +143,10 @@
     head.set(kExpectedInstance, admission_.instance_id());
 }
 
+std::string_view EndpointClientProtocol::exchange_name(const HttpMessage& message) const {
+    return message.field(kAttemptId);
+}
+
 void EndpointClientProtocol::prepare_probe(http::request_header<>& head) {
     head.target(health_path_);
     head.set(http::field::host, "endpoint");
@@ -145,7 +158,11 @@
     const unsigned status = head.result_int();
     const bool not_run = !head[kNotExecuted].empty() || status == 421;
     const bool is_health_check = message == nullptr;
-    if (is_health_check) return status == 200 && !head[kInstanceId].empty() ? Status::Ok : Status::Error;
+    if (is_health_check) {
+        // A late answer to an earlier request; that to a health check bears no Attempt-Id.
+        if (!id.empty()) return std::nullopt;
+        return status == 200 && !head[kInstanceId].empty() ? Status::Ok : Status::Error;
+    }
     if (!id.empty() && id != message->field(kAttemptId)) return std::nullopt;
     // A response without an Attempt-Id may be a surplus one that says "not executed" of an earlier request
     // while this one runs.
--- a/src/proxy/inbound_protocol.h
+++ b/src/proxy/inbound_protocol.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "admission/admission_controller.h"
 #include "bootstrap/settings.h"
@@ -30,6 +31,7 @@
     /// admission controller.
     [[nodiscard]] std::variant<decision::Request, TurnAway> read(Fields& head, Time arrived) override;
     void write(const Answer& answer, const decision::RequestId& id, http::response_header<>& head) override;
+    bool is_answer_to(const Answer& answer, const decision::RequestId& id) override;
 
   private:
     [[nodiscard]] TurnAway answer_delivery_query(const HopHeader& hop,
@@ -57,6 +59,7 @@
     void set_health_path(const std::string& path) { health_path_ = path; }
 
     void prepare(http::request_header<>& head, const HttpMessage& message, EndpointId to, Time end) override;
+    [[nodiscard]] std::string_view exchange_name(const HttpMessage& message) const override;
     void prepare_probe(http::request_header<>& head) override;
     [[nodiscard]] std::optional<decision::Status> classify(const http::response_header<>& head,
                                                            const HttpMessage* message,
--- a/src/proxy/outbound_protocol.cpp
+++ b/src/proxy/outbound_protocol.cpp
@@ -164,6 +164,10 @@
     head.set(http::field::retry_after, seconds_text(wait));
 }
 
+bool OutboundServerProtocol::is_answer_to(const Answer& answer, const RequestId& id) {
+    return check_attempt_id(answer, id);
+}
+
 // ---- the hop to the endpoint's proxy --------------------------------------------------------------
 
 void HopClientProtocol::prepare(http::request_header<>& head, const HttpMessage& message, EndpointId to,
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -25,7 +25,8 @@
     return identity;
 }
 
-void log_totals(const RequestTotals& totals) {
+void log_totals(const RequestTotals& totals, const MisplacedAnswers& outbound,
+                const MisplacedAnswers& inbound) {
     log_event(Event::RequestTotals, "answers",
               {{"taken", std::to_string(totals.taken)},
                {"served", std::to_string(totals.served)},
@@ -33,7 +34,9 @@
                {"failed", std::to_string(totals.failed)},
                {"no_route", std::to_string(totals.no_route)},
                {"no_key", std::to_string(totals.no_key)},
-               {"over_quota", std::to_string(totals.over_quota)}});
+               {"over_quota", std::to_string(totals.over_quota)},
+               {"skipped", std::to_string(outbound.skipped + inbound.skipped)},
+               {"withheld", std::to_string(outbound.withheld + inbound.withheld)}});
 }
 
 }  // namespace
@@ -133,7 +136,7 @@
     local_endpoint_.check_heartbeats();
     if (now - totals_logged_at_ >= kRequestTotalsInterval) {
         totals_logged_at_ = now;
-        log_totals(outbound_.totals());
+        log_totals(outbound_.totals(), outbound_.misplaced_answers(), inbound_.misplaced_answers());
     }
 }
 
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -32,6 +32,12 @@
 /// within the settings' file descriptors.
 [[nodiscard]] std::size_t max_connections(const bootstrap::Settings& settings);
 
+/// Answers that named another request than the one that waited, since the start of the process.
+struct MisplacedAnswers {
+    std::uint64_t skipped = 0;   ///< on a connection to an endpoint or another proxy
+    std::uint64_t withheld = 0;  ///< about to be given to a client or another proxy
+};
+
 class OutboundTraffic {
   public:
     /// @param proxy_count returns the number of proxies known, for quotas without a lease.
@@ -57,6 +63,9 @@
     [[nodiscard]] ClientBacklog backlog() const { return listener_.backlog(); }
     [[nodiscard]] quota::QuotaLimiter& quota_limiter() { return quota_limiter_; }
     [[nodiscard]] const RequestTotals& totals() const { return totals_; }
+    [[nodiscard]] MisplacedAnswers misplaced_answers() const {
+        return {connections_.skipped_answers(), listener_.withheld_answers()};
+    }
 
   private:
     Counters counters_;
@@ -86,6 +95,9 @@
     void drain(std::function<void()> done) { listener_.drain(std::move(done), false); }
     /// What other proxies are still owed.
     [[nodiscard]] ClientBacklog backlog() const { return listener_.backlog(); }
+    [[nodiscard]] MisplacedAnswers misplaced_answers() const {
+        return {connections_.skipped_answers(), listener_.withheld_answers()};
+    }
     /// @param callback is called at the end of each attempt at the endpoint.
     void on_attempt_end(std::function<void(decision::Status)> callback);
     /// @param path of the endpoint's health check.
