Test rig: processes, planned work and faults of the shutdown tests in ProxyFleet

Change: ProxyFleet out of ShutdownWorld, with SIGHUP, configuration changes and controller stops; the judging of downloads stays. Children close all inherited descriptors (those over 511 stayed open).

--- a/tests/mesh/rig/processes.cpp
+++ b/tests/mesh/rig/processes.cpp
@@ -74,7 +74,7 @@
     const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(output, 1);
     ::dup2(output, 2);
-    for (int fd = 3; fd < 512; ++fd) ::close(fd);
+    ::close_range(3, ~0U, 0);  // a child with the test's sockets would keep its clients' connections open
     ::setenv("MARTENFORD_CONFIG", settings.c_str(), 1);
     ::execl(program, program, static_cast<char*>(nullptr));
     ::_exit(127);
--- /dev/null
+++ b/tests/mesh/rig/proxy_fleet.cpp
@@ -0,0 +1,261 @@
+#include "mesh/rig/proxy_fleet.h"
+
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <csignal>
+#include <sstream>
+#include <stdexcept>
+#include <utility>
+
+namespace martenford::rig {
+
+namespace {
+
+constexpr Duration kPollInterval = 5ms;
+constexpr Duration kHeartbeatInterval = 300ms;
+constexpr Duration kCallTimeout = 2s;
+constexpr Duration kWaitTimeout = 20s;
+constexpr Duration kRestartDelay = 100ms;
+/// Planned work lasts until so long after the grace period.
+constexpr Duration kAfterGrace = 1s;
+constexpr char kController[] = "core";
+
+int mesh_port() {
+    return kPorts + static_cast<int>(Port::Mesh);
+}
+int inbound_port() {
+    return kPorts + static_cast<int>(Port::Inbound);
+}
+
+}  // namespace
+
+ProxyFleet::ProxyFleet(FleetOptions options)
+    : options_(std::move(options)),
+      cuts_({mesh_port(), inbound_port()}, {mesh_port()}),
+      proxies_(options_.proxies, State::Starting) {}
+
+ProxyFleet::~ProxyFleet() {
+    connections_.clear();
+}
+
+// ---- processes
+
+Machine ProxyFleet::machine(const std::string& name, const std::string& ip) const {
+    Machine machine;
+    machine.name = name;
+    machine.ip = ip;
+    machine.seeds = {at(controller_ip(), Port::Control)};
+    machine.first_boot = !configured_;
+    machine.top =
+        "beat_interval_ms = 300\nactive_contracts = [\"base\", \"drain\"]\nbounds = [\"contact_ms=1000\", "
+        "\"drain_ms=300\", \"grace_s=3\"]\n";
+    return machine;
+}
+
+void ProxyFleet::start_controller() {
+    Machine settings = machine(kController, controller_ip());
+    settings.top += "loss_counted = true\nserves = [\"control_plane\"]\n";
+    settings.tables = "[fault_tolerance]\nmachines = 0\nzones = 0\nregions = 0\n";
+    processes_.start(settings);
+}
+
+void ProxyFleet::start_proxy(std::size_t i) {
+    Machine settings = machine(name(i), proxy_ip(i));
+    settings.service = options_.service;
+    settings.top += "loss_counted = false\nserves = [\"sidecar\"]\n";
+    processes_.start(settings);
+    proxies_[i] = State::Starting;
+}
+
+void ProxyFleet::start() {
+    start_controller();
+    for (std::size_t i = 0; i < size(); ++i) start_proxy(i);
+    poll();
+    change_config();
+    wait_for("a configuration that is accepted", [this] { return configured_; });
+    send_heartbeats();
+}
+
+void ProxyFleet::send_heartbeats() {
+    loop_.add(loop_.now() + kHeartbeatInterval, [this] { send_heartbeats(); });
+    for (std::size_t i = 0; i < size(); ++i) {
+        const Heartbeat beat = options_.heartbeat(i);
+        call(address(i, Port::Control),
+             request_text("POST", "/v1/instances/" + beat.instance + "/heartbeat", "x",
+                          "Content-Type: application/json\r\n", beat.body),
+             [this, i](Response&& response) {
+                 if (response.status == 200 && proxies_[i] == State::Starting) proxies_[i] = State::Running;
+             });
+    }
+}
+
+void ProxyFleet::call(const std::string& to, const std::string& request, Connection::Done done) {
+    const auto connection = connections_.emplace(connections_.end(), loop_, to);
+    connection->send(request, kCallTimeout, [this, connection, done = std::move(done)](Response&& response) {
+        connections_.erase(connection);
+        done(std::move(response));
+    });
+}
+
+// ---- time
+
+void ProxyFleet::run_for(Duration duration) {
+    loop_.add(loop_.now() + duration, [this] { loop_.stop(); });
+    loop_.resume();
+    loop_.run();
+}
+
+void ProxyFleet::wait_for(const std::string& what, const std::function<bool()>& condition) {
+    const Time give_up_at = loop_.now() + kWaitTimeout;
+    while (!condition()) {
+        if (loop_.now() > give_up_at)
+            throw std::runtime_error("timed out waiting for " + what + "\n" + logs());
+        run_for(kPollInterval);
+    }
+}
+
+void ProxyFleet::poll() {
+    loop_.add(loop_.now() + kPollInterval, [this] { poll(); });
+    processes_.reap(loop_.now());
+    cuts_.refresh(processes_.pids());
+    if (config_pending_ && !config_in_flight_) send_config();
+}
+
+bool ProxyFleet::is_calm() const {
+    const bool all_run =
+        std::all_of(proxies_.begin(), proxies_.end(), [](State state) { return state == State::Running; });
+    return all_run && open_faults_ == 0 && !config_pending_ && !controller_down_;
+}
+
+// ---- planned
+
+void ProxyFleet::restart_by_plan(std::size_t proxy) {
+    if (proxies_[proxy] != State::Running) return;
+    proxies_[proxy] = State::Stopping;
+    const std::size_t stop = stops_.size();
+    stops_.push_back({proxy, {loop_.now()}, false});
+    processes_.terminate(name(proxy), Processes::Termination::Graceful, loop_.now(), kShutdownGrace,
+                         [this, proxy, stop](int status) {
+                             stops_[stop].span.to = loop_.now();
+                             stops_[stop].killed = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
+                             loop_.add(loop_.now() + kRestartDelay, [this, proxy] { start_proxy(proxy); });
+                         });
+}
+
+void ProxyFleet::restart_controller_by_plan() {
+    if (std::exchange(controller_down_, true)) return;
+    processes_.terminate(kController, Processes::Termination::Graceful, loop_.now(), kShutdownGrace,
+                         [this](int) {
+                             controller_down_ = false;
+                             start_controller();
+                         });
+}
+
+void ProxyFleet::reload(std::size_t proxy) {
+    if (proxies_[proxy] == State::Starting) return;
+    ++reloads_;
+    processes_.signal(name(proxy), SIGHUP);
+}
+
+void ProxyFleet::change_config() {
+    if (std::exchange(config_pending_, true)) return;
+    ++config_version_;
+}
+
+void ProxyFleet::send_config() {
+    config_in_flight_ = true;
+    call(at(controller_ip(), Port::Control),
+         request_text("POST", "/v1/configuration/replace", "x", "Content-Type: application/json\r\n",
+                      options_.config(config_version_)),
+         [this](Response&& response) {
+             config_in_flight_ = false;
+             if (response.status != 200) return;
+             config_pending_ = false;
+             configured_ = true;
+         });
+}
+
+// ---- unplanned
+
+void ProxyFleet::fault(Duration duration, std::function<void()> repair) {
+    faults_.push_back({loop_.now(), loop_.now() + duration});
+    ++open_faults_;
+    loop_.add(loop_.now() + duration, [this, repair = std::move(repair)] {
+        repair();
+        --open_faults_;
+    });
+}
+
+void ProxyFleet::kill(std::size_t proxy, Duration down) {
+    if (proxies_[proxy] != State::Running) return;
+    proxies_[proxy] = State::Stopping;
+    processes_.terminate(name(proxy), Processes::Termination::Kill, loop_.now(), {}, nullptr);
+    fault(down, [this, proxy] { start_proxy(proxy); });
+}
+
+void ProxyFleet::kill_controller(Duration down) {
+    if (std::exchange(controller_down_, true)) return;
+    processes_.terminate(kController, Processes::Termination::Kill, loop_.now(), {}, nullptr);
+    fault(down, [this] {
+        controller_down_ = false;
+        start_controller();
+    });
+}
+
+void ProxyFleet::freeze(std::size_t proxy, Duration duration) {
+    processes_.signal(name(proxy), SIGSTOP);
+    fault(duration, [this, proxy] { processes_.signal(name(proxy), SIGCONT); });
+}
+
+void ProxyFleet::cut(std::size_t proxy, Duration duration) {
+    if (!LinkCuts::unavailable_reason().empty() || !processes_.is_running(name(proxy))) return;
+    const pid_t pid = processes_.pid(name(proxy));
+    cuts_.cut(pid, LinkCuts::Direction::Both, processes_.pids());
+    fault(duration, [this, pid] { cuts_.restore(pid, processes_.pids()); });
+}
+
+// ---- what happened
+
+bool ProxyFleet::fault_between(Time from, Time to) const {
+    return std::any_of(faults_.begin(), faults_.end(), [&](const Span& fault) {
+        return fault.from <= to && fault.to + kContactTime >= from;
+    });
+}
+
+bool ProxyFleet::stop_between(std::size_t proxy, Time from, Time to) const {
+    return std::any_of(stops_.begin(), stops_.end(), [&](const PlannedStop& stop) {
+        return stop.proxy == proxy && to >= stop.span.from &&
+               from <= stop.span.from + kShutdownGrace + kAfterGrace;
+    });
+}
+
+std::vector<std::string> ProxyFleet::process_violations() {
+    std::vector<std::string> found;
+    for (const PlannedStop& stop : stops_) {
+        if (stop.killed && !fault_between(stop.span.from - kContactTime, stop.span.to))
+            found.push_back("KILLED: " + name(stop.proxy) + " did not end within the grace period");
+    }
+    for (const std::string& exit : processes_.unexpected_exits()) found.push_back("EXIT: " + exit);
+    // Of the program's own invariants, whatever faults there were.
+    std::istringstream lines(logs());
+    for (std::string line; std::getline(lines, line);) {
+        if (line.find(" MG105 ") != line.npos || line.find(" MG702 ") != line.npos)
+            found.push_back("INVARIANT: " + line);
+    }
+    return found;
+}
+
+std::string ProxyFleet::logs() const {
+    std::string text = "core\n" + processes_.log(kController);
+    for (std::size_t i = 0; i < size(); ++i) text += name(i) + "\n" + processes_.log(name(i));
+    return text;
+}
+
+std::string ProxyFleet::summary() const {
+    return std::to_string(size()) + " proxies, " + std::to_string(stops_.size()) + " planned stops, " +
+           std::to_string(reloads_) + " reloads, " + std::to_string(config_version_) + " configurations, " +
+           std::to_string(faults_.size()) + " unplanned faults";
+}
+
+}  // namespace martenford::rig
--- /dev/null
+++ b/tests/mesh/rig/proxy_fleet.h
@@ -0,0 +1,119 @@
+// A controller and real proxies of one service, each with an endpoint that the test supplies: planned stops,
+// reloads and configuration changes, and unplanned faults beside them. Knows when each of these was, so that
+// a test can judge what its clients saw.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <string>
+#include <vector>
+
+#include "mesh/rig/link_cuts.h"
+#include "mesh/rig/processes.h"
+#include "mesh/rig/standins.h"
+
+namespace martenford::rig {
+
+/// `grace_s` of the settings: from SIGTERM to SIGKILL.
+constexpr Duration kShutdownGrace = 3s;
+/// An unplanned fault is near a request from so long before it was sent: `contact_ms` of the settings.
+constexpr Duration kContactTime = 1s;
+
+struct Span {
+    Time from{}, to = Time::max();
+};
+
+/// What a test supplies of its deployment.
+struct FleetOptions {
+    std::size_t proxies = 4;
+    std::string service;
+    /// Returns a configuration, as the operator sends it, of this version on top of the one before.
+    std::function<std::string(unsigned version)> config;
+    /// Returns the next heartbeat of the endpoint beside a proxy.
+    std::function<Heartbeat(std::size_t proxy)> heartbeat;
+};
+
+class ProxyFleet {
+  public:
+    explicit ProxyFleet(FleetOptions options);
+    ~ProxyFleet();
+    ProxyFleet(const ProxyFleet&) = delete;
+    ProxyFleet& operator=(const ProxyFleet&) = delete;
+
+    /// Returns once a configuration was accepted and heartbeats are sent. Throws std::runtime_error if that
+    /// takes too long.
+    void start();
+    void run_for(Duration duration);
+    /// Throws std::runtime_error if the condition does not come true within 20 s.
+    void wait_for(const std::string& what, const std::function<bool()>& condition);
+    /// Whether all proxies run, no unplanned fault is under way and no configuration change is
+    /// unacknowledged.
+    [[nodiscard]] bool is_calm() const;
+
+    // ---- planned
+    /// SIGTERM; the proxy is started again once it has ended.
+    void restart_by_plan(std::size_t proxy);
+    /// The same for the controller.
+    void restart_controller_by_plan();
+    /// SIGHUP.
+    void reload(std::size_t proxy);
+    /// Sends a new configuration until it is acknowledged. Does nothing while another one is under way.
+    void change_config();
+    // ---- unplanned
+    void kill(std::size_t proxy, Duration down);
+    void freeze(std::size_t proxy, Duration duration);
+    void cut(std::size_t proxy, Duration duration);
+    void kill_controller(Duration down);
+    /// Notes an unplanned fault, and calls `repair` when it is over.
+    void fault(Duration duration, std::function<void()> repair);
+
+    [[nodiscard]] bool fault_between(Time from, Time to) const;
+    /// Whether the proxy was under a planned stop, or had been within the time after it, in this span.
+    [[nodiscard]] bool stop_between(std::size_t proxy, Time from, Time to) const;
+    /// Processes that did not end as they should, and invariants that a program reported as violated.
+    [[nodiscard]] std::vector<std::string> process_violations();
+    /// The logs of all processes.
+    [[nodiscard]] std::string logs() const;
+    [[nodiscard]] Loop& loop() { return loop_; }
+    [[nodiscard]] std::string address(std::size_t proxy, Port port) const {
+        return at(proxy_ip(proxy), port);
+    }
+    [[nodiscard]] std::size_t size() const { return proxies_.size(); }
+    [[nodiscard]] static std::string name(std::size_t proxy) { return "proxy-" + std::to_string(proxy); }
+    /// Counts of what was done to the processes, for people.
+    [[nodiscard]] std::string summary() const;
+
+  private:
+    struct PlannedStop {
+        std::size_t proxy = 0;
+        Span span;
+        bool killed = false;
+    };
+    /// Starting: it may not handle signals yet.
+    enum class State { Starting, Running, Stopping };
+
+    static std::string proxy_ip(std::size_t i) { return Processes::ip(101 + i); }
+    static std::string controller_ip() { return Processes::ip(1); }
+    Machine machine(const std::string& name, const std::string& ip) const;
+    void start_controller();
+    void start_proxy(std::size_t i);
+    void poll();
+    void send_heartbeats();
+    void send_config();
+    void call(const std::string& to, const std::string& request, Connection::Done done);
+
+    const FleetOptions options_;
+    Processes processes_;
+    LinkCuts cuts_;
+    Loop loop_;
+    std::vector<State> proxies_;
+    std::list<Connection> connections_;
+    std::size_t open_faults_ = 0, reloads_ = 0;
+    std::vector<Span> faults_;  // unplanned
+    std::vector<PlannedStop> stops_;
+    unsigned config_version_ = 0;  // that was sent last
+    bool configured_ = false, config_pending_ = false, config_in_flight_ = false, controller_down_ = false;
+};
+
+}  // namespace martenford::rig
--- a/tests/mesh/rig/standins.cpp
+++ b/tests/mesh/rig/standins.cpp
@@ -118,10 +118,15 @@
     front_.listen(*parse_address(address));
 }
 
-std::string Endpoint::heartbeat_body(const std::string& service, const std::string& state) {
-    return R"({"address":")" + address_ + R"(","node_info":{"service":")" + service +
+std::string heartbeat_text(const std::string& address, const std::string& service, const std::string& state,
+                           int call_seq) {
+    return R"({"address":")" + address + R"(","node_info":{"service":")" + service +
            R"(","version":"v1","zone":"z","slots":4},"status":{"state":")" + state + R"(","call_seq":)" +
-           std::to_string(++call_seq_) + R"(,"cold_left_ms":0}})";
+           std::to_string(call_seq) + R"(,"cold_left_ms":0}})";
+}
+
+std::string Endpoint::heartbeat_body(const std::string& service, const std::string& state) {
+    return heartbeat_text(address_, service, state, ++call_seq_);
 }
 
 std::variant<decision::Request, TurnAway> Endpoint::read(Fields& head, Time arrived) {
--- a/tests/mesh/rig/standins.h
+++ b/tests/mesh/rig/standins.h
@@ -63,6 +63,16 @@
                          const std::string& fields = {}, const std::string& body = {},
                          bool keep_alive = false);
 
+/// A heartbeat as an endpoint sends it.
+struct Heartbeat {
+    std::string instance;  ///< id of the endpoint
+    std::string body;
+};
+/// Returns the body of a heartbeat of an endpoint with four slots.
+/// @param call_seq rises with each call
+std::string heartbeat_text(const std::string& address, const std::string& service, const std::string& state,
+                           int call_seq);
+
 /// An application endpoint: answers each request once, with its instance id in
 /// Server-Seal.
 class Endpoint : private ServerProtocol, private Desk {
--- a/tests/mesh/shutdown_test.cpp
+++ b/tests/mesh/shutdown_test.cpp
@@ -24,14 +24,14 @@
     world.start();
     // 150 kB by 1 kB each 50 ms: 7.5 s, longer than the grace period of 3 s.
     world.set_answers(150'000, 1'000);
-    world.restart_by_plan(0);
+    world.fleet().restart_by_plan(0);
     for (int i = 0; i < 5; ++i) {
-        world.run_for(100ms);
+        world.fleet().run_for(100ms);
         world.download(0, 10s);
     }
     world.settle();
     const auto violations = world.violations();
-    CHECK_MESSAGE(violations.empty(), text_of(violations) << world.logs());
+    CHECK_MESSAGE(violations.empty(), text_of(violations) << world.fleet().logs());
     REQUIRE(world.downloads().size() == 5);
     for (const Download& download : world.downloads()) CHECK(download.response.status != 0);
 }
@@ -40,8 +40,8 @@
     ShutdownWorld world(2, 2);
     world.start();
     world.set_answers(150'000, 10'000);  // 0.75 s
-    world.restart_by_plan(0);
-    world.run_for(100ms);
+    world.fleet().restart_by_plan(0);
+    world.fleet().run_for(100ms);
     world.download(0, 10s);
     world.settle();
     CHECK(text_of(world.violations()).empty());
--- a/tests/mesh/soak_test.cpp
+++ b/tests/mesh/soak_test.cpp
@@ -38,9 +38,9 @@
         world_.start_clients(kConnectionsPerProxy, below(2) == 0 ? 1500ms : 2500ms);
         for (Duration passed{}; passed < span_;) {
             const Duration pause = 100ms * static_cast<int>(2 + below(8));
-            world_.run_for(pause);
+            world_.fleet().run_for(pause);
             passed += pause;
-            world_.restart_by_plan(below(kProxies));
+            world_.fleet().restart_by_plan(below(kProxies));
             // Quiet stretches, in which the rules of planned work hold, between troubled ones.
             if (passed < span_ / 3 || passed > span_ * 2 / 3) continue;
             for (std::size_t count = 1 + below(2); count > 0; --count) trouble();
@@ -57,15 +57,15 @@
         const std::size_t proxy = below(kProxies);
         switch (below(5)) {
             case 0:
-                return world_.kill(proxy, lasts);
+                return world_.fleet().kill(proxy, lasts);
             case 1:
-                return world_.freeze(proxy, lasts);
+                return world_.fleet().freeze(proxy, lasts);
             case 2:
-                return world_.cut(proxy, lasts);
+                return world_.fleet().cut(proxy, lasts);
             case 3:
                 return world_.lose_answers(proxy, lasts);
             default:
-                return world_.kill_controller(lasts);
+                return world_.fleet().kill_controller(lasts);
         }
     }
 
@@ -81,7 +81,7 @@
     std::cout << "seed " << seed << ": " << soak.world().summary() << "\n";
     std::string text;
     for (const std::string& violation : violations) text += violation + "\n";
-    CHECK_MESSAGE(violations.empty(), "seed " << seed << "\n" << text << soak.world().logs());
+    CHECK_MESSAGE(violations.empty(), "seed " << seed << "\n" << text << soak.world().fleet().logs());
 }
 
 }  // namespace
