--- a/tests/mesh/hop_doubles.h
+++ b/tests/mesh/hop_doubles.h
@@ -60,11 +60,14 @@
     socket.close(ignored);
 }
 
+inline constexpr char kAnyAddress[] = "127.0.0.1:0";
+
 /// Accepts connections and passes them on.
 class Listener {
   public:
-    Listener(Loop& loop, std::function<void(tcp::socket)> accepted)
-        : acceptor_(loop.io(), *parse_address("127.0.0.1:0")), accepted_(std::move(accepted)) {
+    /// Listens at `address`, "ip:port".
+    Listener(Loop& loop, std::function<void(tcp::socket)> accepted, const std::string& address = kAnyAddress)
+        : acceptor_(loop.io(), *parse_address(address)), accepted_(std::move(accepted)) {
         accept();
     }
     [[nodiscard]] Address address() const { return acceptor_.local_endpoint(); }
@@ -102,24 +105,29 @@
         Trailers,      // a chunked response with trailer fields
         Count
     };
-    Endpoint(Loop& loop, Random& random, History& history, const bool& faults_enabled)
+    /// Listens at `address`, "ip:port".
+    Endpoint(Loop& loop, Random& random, History& history, const bool& faults_enabled,
+             const std::string& address = kAnyAddress)
         : loop_(loop),
           random_(random),
           history_(history),
           faults_enabled_(faults_enabled),
-          listener_(loop, [this](tcp::socket socket) {
-              ++connections;
-              read(std::make_shared<Stream>(std::move(socket)));
-          }) {}
+          listener_(
+              loop,
+              [this](tcp::socket socket) {
+                  ++connections;
+                  read(std::make_shared<Stream>(std::move(socket)));
+              },
+              address) {}
     /// How one arrival of a request is answered.
     struct Script {
-        std::string response;  ///< sent after `delay`
+        std::string response;  ///< sent after `delay`; empty: none
         bool executes = true;  ///< the arrival counts as an execution
         Duration delay{};      ///< from the arrival
-        std::string
-            late_response;  ///< sent on the same connection, `late_after` after the response; or empty
+        /// Sent on the same connection, `late_after` after the response; empty: none.
+        std::string late_response{};
         Duration late_after{};
-        bool closes = false;  ///< the connection, after the late response
+        bool closes = false;  ///< the connection, after the last of these
     };
     /// @param arrival of this id at this endpoint, counted from 1
     using ScriptFunction = std::function<Script(const std::string& id, int arrival)>;
@@ -185,13 +193,14 @@
         const Script step = script(id, ++arrivals_[id]);
         if (step.executes) ++history_.executions[id];
         loop_.add(loop_.now() + step.delay, [this, stream, step] {
+            const auto close = [stream, step] {
+                if (step.closes) reset(stream->socket);
+            };
+            if (step.late_response.empty() && step.closes) return write(stream, step.response, close);
             respond(stream, step.response);
             if (step.late_response.empty()) return;
-            loop_.add(loop_.now() + step.late_after, [this, stream, step] {
-                write(stream, step.late_response, [stream, step] {
-                    if (step.closes) stream->socket.close();
-                });
-            });
+            loop_.add(loop_.now() + step.late_after,
+                      [this, stream, step, close] { write(stream, step.late_response, close); });
         });
     }
     void serve(const StreamPtr& stream, const std::string& id, Behavior behavior) {
