--- a/src/http1/back.h
+++ b/src/http1/back.h
@@ -15,7 +15,7 @@
 
 namespace martenford {
 
-class Connection;
+class EndpointConnection;
 class ClientProtocol;
 
 class Http1Back : public Back, public Placement {
@@ -41,29 +41,29 @@
     std::uint64_t skipped_answers() const { return skipped_.value(); }
 
   private:
-    friend class Connection;
+    friend class EndpointConnection;
     struct Pool {
         Address address;
         bool ready = false;
-        std::uint32_t open = 0;                         // to its present and to earlier addresses
-        std::vector<std::shared_ptr<Connection>> idle;  // the one used last stands last
+        std::uint32_t open = 0;                                 // to its present and to earlier addresses
+        std::vector<std::shared_ptr<EndpointConnection>> idle;  // the one used last stands last
     };
     /// All idle ones over all pools, the one idle for longest first: found without a look at the others.
-    using ByIdleTime = std::list<Connection*>;
+    using ByIdleTime = std::list<EndpointConnection*>;
     using Outgoing = Writer<true>;
 
     Handle start(EndpointId id, std::shared_ptr<const HttpMessage> message,
                  std::shared_ptr<Outgoing> outgoing, Time end, Done done);
     /// An idle connection, or a new one; null where there is no room.
-    std::shared_ptr<Connection> take(EndpointId id, Pool& pool, const HttpMessage* message);
+    std::shared_ptr<EndpointConnection> take(EndpointId id, Pool& pool, const HttpMessage* message);
     /// The one used last of those that may carry the message; null where there is none. A null message is a
     /// probe.
-    std::shared_ptr<Connection> take_idle(Pool& pool, const HttpMessage* message);
+    std::shared_ptr<EndpointConnection> take_idle(Pool& pool, const HttpMessage* message);
     bool make_room();
-    bool keeps(const Connection& connection) const;
-    void put_back(std::shared_ptr<Connection> connection);
-    void forget_idle(const Connection& connection);
-    void gone(const Connection& connection);
+    bool keeps(const EndpointConnection& connection) const;
+    void put_back(std::shared_ptr<EndpointConnection> connection);
+    void forget_idle(const EndpointConnection& connection);
+    void gone(const EndpointConnection& connection);
     void written(const Message& message, EndpointId id) {
         written_.add();
         if (told_written_) told_written_(message, id);
--- /dev/null
+++ b/src/http1/endpoint_connection.cpp
@@ -0,0 +1,346 @@
+#include "http1/endpoint_connection.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <string>
+#include <utility>
+
+#include "core/transport.h"
+#include "http1/protocol.h"
+
+namespace martenford {
+
+using decision::Status;
+
+namespace {
+
+constexpr int kMaxInterimAnswers = 16;  // ahead of the one that counts: 1xx, and those to other requests
+/// An endpoint that gives nothing of a begun answer for so long has left it.
+constexpr Duration kStallTimeout = 10s;
+
+/// Whether a connect failed for want of something of our own.
+bool is_own_fault(const error_code& error) {
+    return error == asio::error::no_descriptors || error == asio::error::no_memory ||
+           error == asio::error::no_buffer_space || error == boost::system::errc::address_not_available ||
+           error == boost::system::errc::too_many_files_open_in_system;
+}
+
+}  // namespace
+
+EndpointConnection::EndpointConnection(Http1Back& pool, EndpointId id, const Address& address)
+    : id(id),
+      address(address),
+      pool_(pool),
+      socket_(pool.loop_.io()),
+      limit_(pool.loop_),
+      end_(pool.loop_),
+      buffer_(kMostBuffer) {}
+
+void EndpointConnection::start(std::shared_ptr<const HttpMessage> message,
+                               std::shared_ptr<Http1Back::Outgoing> outgoing, Time end, Back::Done done) {
+    message_ = std::move(message);
+    outgoing_ = std::move(outgoing);
+    if (message_ && message_->rest) {
+        outgoing_->on_rest = [message = message_] {
+            message->rest_begun = true;
+            message->body = {};
+        };
+    }
+    done_ = std::move(done);
+    limit_.cancel();
+    end_at(end);
+    if (message_) exchanges_.add(pool_.protocol_.exchange_name(*message_));
+    if (stage_ == Stage::Connecting) {
+        connect();
+    } else {
+        write();
+    }
+}
+
+bool EndpointConnection::may_carry(const HttpMessage& message) const {
+    return !exchanges_.contains(pool_.protocol_.exchange_name(message));
+}
+
+bool EndpointConnection::clean() {
+    char byte = 0;
+    const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void EndpointConnection::cancel() {
+    end_attempt(Status::Cancelled);
+}
+
+void EndpointConnection::withdraw_unwritten() {
+    if (stage_ == Stage::Connecting || (stage_ == Stage::Writing && arriving())) end_attempt(Status::NotSent);
+}
+
+void EndpointConnection::end_at(Time end) {
+    if (!done_) return;  // its outcome is known already
+    end_.set(end, [self = shared_from_this()] {
+        self->end_attempt(self->written_whole() ? Status::Timeout : Status::ConnectFailed);
+    });
+}
+
+void EndpointConnection::close() {
+    if (std::exchange(stage_, Stage::Closed) == Stage::Closed) return;
+    if (outgoing_) outgoing_->stop();
+    if (rest_) std::exchange(rest_, nullptr)->fail();
+    if (message_ && message_->rest_begun) message_->rest->stop_reading();
+    pool_.gone(*this);
+    limit_.cancel();
+    end_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+bool EndpointConnection::arriving() const {
+    return message_ && message_->rest && message_->rest->state() == Pipe::State::Open;
+}
+
+bool EndpointConnection::written_whole() const {
+    return stage_ == Stage::Waiting || (stage_ == Stage::Writing && !arriving());
+}
+
+void EndpointConnection::connect() {
+    const Duration most = pool_.limits_.connect_timeout;
+    if (most > Duration{})
+        limit_.set(Loop::monotonic() + most,
+                   [self = shared_from_this()] { self->end_attempt(Status::ConnectFailed); });
+    socket_.async_connect(address, [self = shared_from_this()](const error_code& error) {
+        if (self->stage_ != Stage::Connecting) return;
+        self->limit_.cancel();
+        if (error) return self->end_attempt(is_own_fault(error) ? Status::NotSent : Status::ConnectFailed);
+        error_code ignored;
+        self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+        bound_send_buffer(self->socket_);
+        self->read();
+        self->write();
+    });
+}
+
+void EndpointConnection::write() {
+    stage_ = Stage::Writing;
+    interim_ = 0;
+    renew(parser_);
+    outgoing_->run(socket_, shared_from_this(), [self = shared_from_this()](const error_code& error) {
+        if (self->stage_ != Stage::Writing) return;
+        // Not whole: an endpoint begins no request whose last byte has not come.
+        if (error) return self->end_attempt(Status::ConnectFailed);
+        self->stage_ = Stage::Waiting;
+        if (self->message_) self->pool_.written(*self->message_, self->id);  // probes are no attempts
+        self->parse();
+        if (self->stage_ == Stage::Waiting && self->broken_) self->handle_read_end(self->broken_);
+        self->read_on();
+    });
+}
+
+void EndpointConnection::read() {
+    reading_ = true;
+    if (stage_ == Stage::Passing) {
+        limit_.set(Loop::monotonic() + kStallTimeout, [self = shared_from_this()] { self->close(); });
+    }
+    socket_.async_read_some(buffer_.prepare(read_size(buffer_, stage_ == Stage::Passing)),
+                            [self = shared_from_this()](const error_code& error, std::size_t size) {
+                                self->reading_ = false;
+                                if (self->stage_ == Stage::Closed) return;
+                                self->buffer_.commit(size);
+                                if (error) return self->handle_read_end(error);
+                                if (self->stage_ == Stage::Idle)
+                                    return self->drop_idle();  // nothing was asked
+                                // Guards against bytes that were on their way before the request was: an
+                                // answer that starts before its request is whole is none.
+                                if (self->stage_ == Stage::Writing) {
+                                    return self->handle_early_bytes(http::error::unexpected_body);
+                                }
+                                if (self->stage_ == Stage::Waiting || self->stage_ == Stage::Passing) {
+                                    self->parse();
+                                }
+                                self->read_on();
+                            });
+}
+
+void EndpointConnection::read_on() {
+    if (stage_ == Stage::Closed || reading_ || broken_) return;
+    if (stage_ == Stage::Passing && !rest_->has_room()) return limit_.cancel();  // the caller is slower
+    read();
+}
+
+void EndpointConnection::handle_early_bytes(const error_code& error) {
+    if (arriving()) return end_attempt(Status::ConnectFailed);
+    broken_ = error;
+}
+
+void EndpointConnection::handle_read_end(const error_code& error) {
+    if (stage_ == Stage::Idle) return drop_idle();
+    if (stage_ == Stage::Writing) return handle_early_bytes(error);
+    if (error == asio::error::eof && parser_->got_some()) {
+        error_code fault;
+        parser_->put_eof(fault);
+        if (!fault && parser_->is_done() && pool_.protocol_.ends_by_close()) {
+            if (stage_ == Stage::Passing) return finish_passing(false);
+            if (const auto status = classify()) return answered(*status, false);
+        }
+    }
+    if (stage_ == Stage::Passing) return close();  // its caller sees that it is not whole
+    end_attempt(Status::Reset);
+}
+
+void EndpointConnection::parse() {
+    for (;;) {
+        if (feed(*parser_, buffer_)) {  // nobody can tell what it answers
+            return stage_ == Stage::Passing ? close() : end_attempt(Status::Error);
+        }
+        if (stage_ == Stage::Passing) return pass_on();
+        if (!parser_->is_done()) break;
+        // Guards against taking word that the answer is to come for the answer.
+        if (parser_->get().result_int() / 100 != 1) break;
+        if (++interim_ > kMaxInterimAnswers) return end_attempt(Status::Error);
+        renew(parser_);
+    }
+    if (parser_->is_done()) return handle_whole_answer();
+    if (parser_->is_header_done()) handle_begun_answer();
+}
+
+void EndpointConnection::handle_whole_answer() {
+    const auto status = classify();
+    if (status) return answered(*status, clean_end());
+    // Guards against taking a late or surplus answer of an earlier request for the one to this.
+    pool_.skipped_.add();
+    if (++interim_ > kMaxInterimAnswers || !parser_->keep_alive()) return end_attempt(Status::Reset);
+    renew(parser_);
+    if (buffer_.size() > 0) parse();
+}
+
+void EndpointConnection::handle_begun_answer() {
+    const auto& held = parser_->get().body();
+    const auto length = parser_->content_length();
+    // A long one goes on before it is whole: it may be longer than what can be held, and its caller waits
+    // for its first bytes. Guards, by the bytes wanted, against lengths that no body follows: those can
+    // still go again.
+    if (held.size() <= (length && *length > kWholeBody ? kSurelyLong : kWholeBody)) return;
+    const auto status = classify();
+    // Somebody else's: read to its end and skipped.
+    if (!status) return parser_->get().body().clear();
+    if (*status != Status::Ok) return end_attempt(*status);  // its words are no use
+    begin_passing();
+}
+
+bool EndpointConnection::clean_end() {
+    return parser_->keep_alive() && buffer_.size() == 0 && !broken_ && !exchanges_.full() && clean();
+}
+
+std::optional<Status> EndpointConnection::classify() {
+    return pool_.protocol_.classify(parser_->get(), message_.get(), id);
+}
+
+std::shared_ptr<const AnswerHead> EndpointConnection::head_of(const http::response<PieceBody>& answer) const {
+    if (!pool_.protocol_.passes_heads()) return nullptr;
+    auto head = std::make_shared<HttpAnswerHead>();
+    head->status = answer.result_int();
+    head->fields = answer;
+    strip_connection_fields(head->fields);
+    return head;
+}
+
+void EndpointConnection::begin_passing() {
+    const auto& answer = parser_->get();
+    Result result{Status::Ok,
+                  std::exchange(parser_->get().body(), {}),
+                  std::string(answer[http::field::content_type]),
+                  {},
+                  {},
+                  false,
+                  head_of(answer)};
+    if (const auto length = parser_->content_length()) result.length = *length;
+    result.rest = rest_ = std::make_shared<Pipe>(kMostHeld);
+    // Held by its pipe until the answer's end: while its caller is slow it reads nothing, and no handler
+    // holds it.
+    rest_->on_room([self = shared_from_this()] {
+        if (self->stage_ != Stage::Passing) return;
+        if (self->rest_->unread()) return self->close();  // its caller has left
+        self->read_on();
+    });
+    stage_ = Stage::Passing;
+    end_.cancel();
+    limit_.cancel();
+    const auto done = std::exchange(done_, nullptr);
+    release();
+    done(std::move(result));
+}
+
+void EndpointConnection::pass_on() {
+    const auto self = shared_from_this();
+    rest_->put(std::exchange(parser_->get().body(), {}));
+    if (stage_ == Stage::Passing && parser_->is_done()) finish_passing(clean_end());
+}
+
+void EndpointConnection::finish_passing(bool keep) {
+    const auto self = shared_from_this();
+    rest_->put(std::exchange(parser_->get().body(), {}));
+    if (!rest_) return;  // its caller left at that
+    limit_.cancel();
+    std::exchange(rest_, nullptr)->finish();
+    if (stage_ == Stage::Closed) return;
+    if (keep && pool_.keeps(*this)) {
+        return_to_pool();
+    } else {
+        close();
+    }
+}
+
+void EndpointConnection::return_to_pool() {
+    stage_ = Stage::Idle;
+    if (const Duration most = pool_.limits_.connection_idle; most > Duration{}) {
+        const Duration keep_for{static_cast<Duration::rep>(static_cast<double>(most.count()) * kIdleShare)};
+        limit_.set(Loop::monotonic() + keep_for, [self = shared_from_this()] { self->drop_idle(); });
+    }
+    pool_.put_back(shared_from_this());
+}
+
+void EndpointConnection::answered(Status status, bool keep) {
+    auto answer = parser_->release();
+    Result result;
+    result.status = status;
+    result.head = head_of(answer);
+    if (result.status == Status::Ok || result.head) {
+        result.body = std::move(answer.body());
+        result.content_type = std::string(answer[http::field::content_type]);
+    }
+    end_.cancel();
+    auto done = std::exchange(done_, nullptr);
+    release();
+    result.kept = keep && pool_.keeps(*this);
+    if (result.kept) {
+        return_to_pool();
+    } else {
+        close();
+    }
+    done(std::move(result));
+}
+
+void EndpointConnection::end_attempt(Status status) {
+    auto done = std::exchange(done_, nullptr);
+    const auto self = shared_from_this();
+    close();
+    release();
+    Result result;
+    result.status = status;
+    if (done) done(std::move(result));
+}
+
+void EndpointConnection::drop_idle() {
+    const auto self = shared_from_this();
+    pool_.forget_idle(*this);
+    close();
+}
+
+void EndpointConnection::release() {
+    // A write may still refer to the message of an attempt that was given up; the last handler frees it.
+    if (stage_ == Stage::Closed) return;
+    outgoing_.reset();
+    message_.reset();
+}
+
+}  // namespace martenford
--- a/tests/mesh/shutdown_test.cpp
+++ b/tests/mesh/shutdown_test.cpp
@@ -1,5 +1,6 @@
-// The planned stop of a proxy, on real processes: answers that come slower than the grace period lasts. All
-// waits are for observed events; the grace period itself is real time.
+// The planned stop of a proxy, on real processes: answers that come slower than the grace period lasts, and
+// signals that come until the process has ended. All waits are for observed events; the grace period itself
+// is real time.
 #include <doctest/doctest.h>
 
 #include <string>
