--- a/tests/mesh/answer_soak_test.cpp
+++ b/tests/mesh/answer_soak_test.cpp
@@ -4,6 +4,7 @@
 // MARTENFORD_SPAN its length in seconds, MARTENFORD_PROXIES the number of proxies.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 #include <random>
@@ -19,6 +20,8 @@
 constexpr std::size_t kConnectionsPerProxy = 6;
 /// Requests in all, so that the test's own loop keeps up: each connection waits longer in a larger fleet.
 constexpr Duration kPausePerProxy = 10ms;
+/// A series of a large fleet must have ended when the world settles.
+constexpr Duration kMaxSeriesTime = 5s;
 
 std::uint64_t from_environment(const char* name, std::uint64_t default_value) {
     const char* value = std::getenv(name);
@@ -50,8 +53,9 @@
     std::size_t below(std::size_t end) { return random_() % end; }
     /// Does something to several proxies in turn, while the soak goes on.
     void in_series(const std::function<void(std::size_t proxy)>& step) {
-        const Duration gap = 10ms * static_cast<int>(1 + below(40));
         const std::size_t first = below(fleet_.size()), count = 1 + below(fleet_.size());
+        const Duration drawn = 10ms * static_cast<int>(1 + below(40));
+        const Duration gap = std::min(drawn, kMaxSeriesTime / static_cast<int>(count));
         for (std::size_t i = 0; i < count; ++i) {
             const std::size_t proxy = (first + i) % fleet_.size();
             fleet_.loop().add(fleet_.loop().now() + gap * static_cast<int>(i),
--- a/tests/mesh/rig/proxy_fleet.cpp
+++ b/tests/mesh/rig/proxy_fleet.cpp
@@ -111,7 +111,7 @@
     const Time give_up_at = loop_.now() + kWaitTimeout;
     while (!condition()) {
         if (loop_.now() > give_up_at)
-            throw std::runtime_error("timed out waiting for " + what + "\n" + logs());
+            throw std::runtime_error("timed out waiting for " + what + ":" + unsettled() + "\n" + logs());
         run_for(kPollInterval);
     }
 }
@@ -124,10 +124,14 @@
     if (controller_ == State::Starting && !controller_asked_) ask_controller();
 }
 
-bool ProxyFleet::is_calm() const {
-    const bool all_run =
-        std::all_of(proxies_.begin(), proxies_.end(), [](State state) { return state == State::Running; });
-    return all_run && open_faults_ == 0 && !config_pending_ && controller_ == State::Running;
+std::string ProxyFleet::unsettled() const {
+    std::string text;
+    for (std::size_t i = 0; i < size(); ++i)
+        if (proxies_[i] != State::Running) text += " " + name(i) + " does not run;";
+    if (controller_ != State::Running) text += " the controller does not answer;";
+    if (open_faults_ > 0) text += " " + std::to_string(open_faults_) + " faults are under way;";
+    if (config_pending_) text += " a configuration is not acknowledged;";
+    return text;
 }
 
 // ---- planned
--- a/tests/mesh/rig/proxy_fleet.h
+++ b/tests/mesh/rig/proxy_fleet.h
@@ -49,7 +49,9 @@
     void wait_for(const std::string& what, const std::function<bool()>& condition);
     /// Whether all proxies run, no unplanned fault is under way and no configuration change is
     /// unacknowledged.
-    [[nodiscard]] bool is_calm() const;
+    [[nodiscard]] bool is_calm() const { return unsettled().empty(); }
+    /// What is missing for that, for people; empty if nothing is.
+    [[nodiscard]] std::string unsettled() const;
 
     // ---- planned
     /// SIGTERM; the proxy is started again once it has ended.
