--- a/tests/mesh/late_answer_test.cpp
+++ b/tests/mesh/late_answer_test.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "hop_world.h"
+#include "http1/exchange_record.h"
 
 using namespace martenford;
 using namespace martenford::hop_world;
@@ -193,3 +194,17 @@
     CHECK(received.find("body of a") == std::string::npos);
     CHECK(received.starts_with("HTTP/1.1 502 "));
 }
+
+TEST_CASE("an exchange record knows the names it was given, and is full at its bound") {
+    ExchangeRecord record;
+    record.add("");
+    CHECK_FALSE(record.contains(""));
+    for (std::size_t i = 0; i < ExchangeRecord::kMaxExchanges; ++i) {
+        CHECK_FALSE(record.full());
+        CHECK_FALSE(record.contains(std::to_string(i)));
+        record.add(std::to_string(i));
+    }
+    CHECK(record.full());
+    CHECK(record.contains("0"));
+    CHECK(record.contains("1023"));
+}
