Test: a request is taken again in place of the one that follows it (known red)

A listener's connection reads into the buffer that it parses from: parsing consumes while that read is pending, the buffer starts anew, and the read's bytes are counted where the old ones lie.

--- a/tests/mesh/late_answer_test.cpp
+++ b/tests/mesh/late_answer_test.cpp
@@ -44,24 +44,32 @@
 /// Passes requests on to nobody; the test answers them.
 struct ListenerFixture : Desk {
     ListenerFixture() { front.listen(*parse_address("127.0.0.1:0")); }
-    bool take(decision::Request, std::shared_ptr<const Message>, Reply reply) override {
+    bool take(decision::Request request, std::shared_ptr<const Message>, Reply reply) override {
+        taken.push_back(request.id);
         replies.push_back(std::move(reply));
         return true;
     }
     void received(const decision::RequestId&, Time) override {}
     void leave(const decision::RequestId&) override {}
 
-    /// Sends one more request on the client's connection, and waits until it was taken.
-    void send(const std::string& id) {
+    /// Sends one more request on the client's connection.
+    void write(const std::string& id) {
         if (!client.is_open()) client.connect(front.listens_at());
         asio::write(client, asio::buffer(World::request_text(id, true)));
-        const std::size_t taken = replies.size() + 1;
-        run_until([&] { return replies.size() == taken; });
+    }
+    /// Sends one more request on the client's connection, and waits until it was taken.
+    void send(const std::string& id) {
+        const std::size_t expected = replies.size() + 1;
+        write(id);
+        run_until([&] { return replies.size() == expected; });
+    }
+    void run_for(Duration duration) {
+        const Time end = world.loop().now() + duration;
+        run_until([&] { return world.loop().now() >= end; });
     }
     /// Returns what the client received by 60 ms from now.
     std::string receive() {
-        const Time end = world.loop().now() + 60ms;
-        run_until([&] { return world.loop().now() >= end; });
+        run_for(60ms);
         std::string text(client.available(), '\0');
         asio::read(client, asio::buffer(text));
         return text;
@@ -82,7 +90,8 @@
 
     World world{1, 0};  // its loop, and its protocol for clients
     Counters counters;
-    std::vector<Reply> replies;  // of the requests, in the order in which they were taken
+    std::vector<std::string> taken;  // ids of the requests, in order
+    std::vector<Reply> replies;      // of the same
     Http1Front front{world.loop(), *this, world.server_protocol(), 16, [] { return true; }, counters};
     tcp::socket client{world.loop().io()};
 };
@@ -171,6 +180,25 @@
     CHECK_FALSE((response && response->status == 200));
 }
 
+TEST_CASE(
+    "a request that comes before its predecessor's answer has gone out is taken once, and the next one too") {
+    for (const bool longer : {true, false}) {
+        CAPTURE(longer);
+        ListenerFixture listener;
+        listener.send("first");
+        listener.write("second");
+        listener.run_for(20ms);  // read while the first one waits
+        listener.replies[0](ListenerFixture::answer_to("first", "1"));
+        listener.run_until([&] { return listener.replies.size() == 2; });
+        listener.replies[1](ListenerFixture::answer_to("second", "2"));
+        listener.run_for(20ms);
+        listener.write(longer ? "a third request" : "third");
+        listener.run_for(60ms);
+        REQUIRE(listener.taken.size() == 3);
+        CHECK(listener.taken[2] == (longer ? "a third request" : "third"));
+    }
+}
+
 TEST_CASE("a listener gives an earlier request's answer to no later request on its connection") {
     ListenerFixture listener;
     listener.send("a");
--- a/tests/mesh/rig/answer_world.cpp
+++ b/tests/mesh/rig/answer_world.cpp
@@ -15,6 +15,8 @@
 /// A connection may close so soon after a request was sent that did not reach an endpoint: `loss_slack_ms`.
 constexpr Duration kLossSlack = 200ms;
 constexpr Duration kReconnectPause = 50ms;
+/// Of what a client did before a violation.
+constexpr Duration kStoryLength = 5s;
 /// Percent of the arrivals, in the order in which the lot is read.
 constexpr std::size_t kRejections = 15, kErrors = 5, kHalfResponses = 2, kSilences = 1;
 constexpr std::size_t kLateResponses = 40;
@@ -142,7 +144,7 @@
     for (std::size_t i = 0; i < fleet_.size(); ++i) start_endpoint(i);
     fleet_.start();
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
-        Client client{i, std::make_unique<Connection>(loop_, fleet_.address(i, Port::Outbound))};
+        Client client{i, 0, std::make_unique<Connection>(loop_, fleet_.address(i, Port::Outbound))};
         fleet_.wait_for("service at " + ProxyFleet::name(i), [&] {
             if (open_exchanges_ == 0) send(client, true, [] {});
             return !exchanges_.empty() && exchanges_.back().proxy == i &&
@@ -157,7 +159,8 @@
     pause_ = pause;
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
         for (std::size_t k = 0; k < connections; ++k) {
-            clients_.push_back({i, std::make_unique<Connection>(loop_, fleet_.address(i, Port::Outbound))});
+            clients_.push_back({i, clients_.size() + 1,
+                                std::make_unique<Connection>(loop_, fleet_.address(i, Port::Outbound))});
             keep_busy(clients_.back());
         }
     }
@@ -174,6 +177,7 @@
     started.id = (idempotent ? "r" : "o") + std::to_string(++last_id_);
     started.idempotent = idempotent;
     started.proxy = client.proxy;
+    started.client = client.number;
     started.sent = loop_.now();
     started.deadline = started.sent + kTimeRemaining;
     ++open_exchanges_;
@@ -239,11 +243,31 @@
     }
 }
 
+std::string AnswerWorld::story(const Exchange& exchange) const {
+    std::ostringstream text;
+    const auto milliseconds = [](Duration time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    };
+    for (const Exchange& each : exchanges_) {
+        if (each.client != exchange.client || each.sent > exchange.sent ||
+            exchange.sent - each.sent > kStoryLength)
+            continue;
+        text << "    " << each.id << " at " << ProxyFleet::name(each.proxy) << ", sent "
+             << milliseconds(exchange.sent - each.sent) << " ms before, ended after "
+             << milliseconds(each.ended - each.sent) << " ms: status " << each.response.status << ", failure "
+             << static_cast<int>(each.response.failure) << ", Attempt-Id '"
+             << each.response.field("Attempt-Id") << "'\n";
+    }
+    return text.str();
+}
+
 std::vector<std::string> AnswerWorld::violations() {
     std::vector<std::string> found;
     for (const Exchange& exchange : exchanges_) {
+        const std::size_t before = found.size();
         check_answer(exchange, found);
         check_runs(exchange, found);
+        if (found.size() > before) found.back() += "\n" + story(exchange);
         if (is_lost(exchange)) {
             const auto after =
                 std::chrono::duration_cast<std::chrono::milliseconds>(exchange.ended - exchange.sent);
--- a/tests/mesh/rig/answer_world.h
+++ b/tests/mesh/rig/answer_world.h
@@ -22,7 +22,7 @@
 struct Exchange {
     std::string id;
     bool idempotent = false;
-    std::size_t proxy = 0;
+    std::size_t proxy = 0, client = 0;
     Time sent{}, deadline{}, ended{};
     Response response;
 };
@@ -52,7 +52,7 @@
     using ScriptedEndpoint = hop_world::Endpoint;
     using Script = ScriptedEndpoint::Script;
     struct Client {
-        std::size_t proxy = 0;
+        std::size_t proxy = 0, number = 0;
         std::unique_ptr<Connection> connection;
     };
 
@@ -63,6 +63,8 @@
     void send(Client& client, bool idempotent, const std::function<void()>& then);
     void keep_busy(Client& client);
     [[nodiscard]] bool is_lost(const Exchange& exchange) const;
+    /// The exchange, and those of its client before it, for people.
+    [[nodiscard]] std::string story(const Exchange& exchange) const;
     void check_answer(const Exchange& exchange, std::vector<std::string>& found) const;
     void check_runs(const Exchange& exchange, std::vector<std::string>& found) const;
     [[nodiscard]] std::size_t below(std::size_t end) { return random_() % end; }
