--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -125,12 +125,13 @@
     if (!passing && stage_ != Stage::Lingering && buffer_.size() > limits().most_header) return;
     if (paused_since_) paused_ += Loop::monotonic() - *std::exchange(paused_since_, std::nullopt);
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(read_size(buffer_, passing)),
+    socket_.async_read_some(incoming_.prepare(read_size(buffer_, passing)),
                             [self = shared_from_this()](const error_code& error, std::size_t size) {
                                 self->reading_ = false;
                                 if (self->stage_ == Stage::Closed) return;
                                 if (error) return self->handle_disconnect();
-                                self->buffer_.commit(size);
+                                self->incoming_.commit(size);
+                                self->take_incoming();
                                 if (self->stage_ == Stage::Lingering) {
                                     self->buffer_.clear();
                                     self->linger_on();
@@ -140,6 +141,16 @@
                             });
 }
 
+void ClientConnection::take_incoming() {
+    if (buffer_.size() == 0) {
+        std::swap(buffer_, incoming_);
+    } else {
+        const auto room = buffer_.prepare(incoming_.size());
+        buffer_.commit(asio::buffer_copy(room, incoming_.data()));
+    }
+    incoming_.clear();
+}
+
 void ClientConnection::handle_disconnect() {
     const auto self = shared_from_this();
     const bool open = stage_ == Stage::Waiting;
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -27,7 +27,11 @@
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
   public:
     ClientConnection(Http1Front& front, asio::ip::tcp::socket socket)
-        : front_(front), socket_(std::move(socket)), timer_(front.loop_), buffer_(kMostBuffer) {}
+        : front_(front),
+          socket_(std::move(socket)),
+          timer_(front.loop_),
+          buffer_(kMostBuffer),
+          incoming_(kMostBuffer) {}
     void start(Http1Front::Clients::iterator place);
     /// Nothing of it is waiting to be read. Guards against closing a connection under a request that has come
     /// whole and counts as taken.
@@ -62,6 +66,8 @@
     /// To the end of one of the front's lists.
     void move_to(Http1Front::Clients& to);
     void read();
+    /// Puts what a read has brought behind what is not parsed yet.
+    void take_incoming();
     void handle_disconnect();
     void parse();
 
@@ -119,7 +125,10 @@
     Http1Front& front_;
     asio::ip::tcp::socket socket_;
     Timer timer_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_;  // read and not parsed yet
+    /// What the pending read writes to. Parsing consumes buffer_, which would move under a read into it: its
+    /// bytes would be counted where those of an earlier request lie.
+    boost::beast::flat_buffer incoming_;
     Http1Front::Clients::iterator position_;
     Http1Front::Clients* list_ = &front_.waiting_;
     Stage stage_ = Stage::Reading;
