A proxy's signal handlers stand to its exit; soak: judged by what was read

Change: the proxy exits before its destructors. The rig tells a reset from an orderly end and knows its own stalls; a request that reached an endpoint counts as before.

--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -24,9 +24,9 @@
     const auto started = martenford::bootstrap::start_program(
         argc, argv, {"martenford-proxy", "the data plane, beside one endpoint", required_settings});
     if (const auto* exit_code = std::get_if<ExitCode>(&started)) return exit_code->value;
-    {
-        martenford::proxy::Proxy proxy(std::get<Settings>(started));
-        proxy.run();
-    }
+    martenford::proxy::Proxy proxy(std::get<Settings>(started));
+    proxy.run();
+    // Before the proxy is destroyed: without its handlers a late SIGHUP or SIGTERM would end the process by
+    // the default action.
     martenford::bootstrap::exit_process(0);
 }
--- a/tests/mesh/rig/proxy_fleet.h
+++ b/tests/mesh/rig/proxy_fleet.h
@@ -71,6 +71,8 @@
     void fault(Duration duration, std::function<void()> repair);
 
     [[nodiscard]] bool fault_between(Time from, Time to) const;
+    /// How long in this span the test itself stood still: what it saw then may have come so much earlier.
+    [[nodiscard]] Duration observer_delay(Time from, Time to) const;
     /// Whether the proxy was under a planned stop, or had been within the time after it, in this span.
     [[nodiscard]] bool stop_between(std::size_t proxy, Time from, Time to) const;
     /// Processes that did not end as they should, and invariants that a program reported as violated.
@@ -115,6 +117,8 @@
     std::list<Connection> connections_;
     std::size_t open_faults_ = 0, reloads_ = 0;
     std::vector<Span> faults_;  // unplanned
+    std::vector<Span> stalls_;  // of the test
+    Time polled_at_{};
     std::vector<PlannedStop> stops_;
     unsigned config_version_ = 0;  // that was sent last
     bool configured_ = false, config_pending_ = false, config_in_flight_ = false;
--- a/tests/mesh/rig/standins.cpp
+++ b/tests/mesh/rig/standins.cpp
@@ -79,6 +79,8 @@
     http::async_read(stream->socket, stream->buffer, stream->response,
                      [stream](const error_code& error, std::size_t) {
                          if (!stream->owner) return;
+                         const bool reset = error == asio::error::connection_reset;
+                         if (reset) return stream->owner->fail(Response::Failure::ConnectionReset);
                          if (error) return stream->owner->fail(Response::Failure::ConnectionEnded);
                          stream->owner->complete();
                      });
