--- a/src/event_log/event_catalogue.cpp
+++ b/src/event_log/event_catalogue.cpp
@@ -86,12 +86,14 @@
      "The proxy has received no configuration yet and serves no requests. Reserved: no program writes it "
      "yet."},
     {Event::RequestTotals, "MG701", "proxy.request_totals", "stall.answers", Severity::Info, 12,
-     "Counts of requests by outcome since the start of the process, every 10 s; and of answers that named "
-     "another request than the one that waited: skipped ones, which endpoints sent late or twice, and "
-     "withheld ones (MG702)."},
+     "Counts of requests by outcome since the start of the process, every 10 s. And of answers that named "
+     "another request than the one that waited: skipped (endpoints sent them late or twice), hop_skipped "
+     "(another proxy did: expect 0), withheld (MG702); early: reads that brought bytes while a request was "
+     "open."},
     {Event::AnswerWithheld, "MG702", "proxy.answer_withheld", nullptr, Severity::Error, 60,
      "An endpoint's answer bore another Attempt-Id than the request that it was about to be given to. The "
-     "client got 502 in its place. This must not happen."},
+     "client got 502 in its place. This must not happen. The line says where the answer came from and what "
+     "the client's connection carried last."},
 };
 
 }  // namespace
--- a/src/http1/back.cpp
+++ b/src/http1/back.cpp
@@ -115,7 +115,7 @@
     opened_.add();
     ++count_;
     ++pool.open;
-    return std::make_shared<EndpointConnection>(*this, id, pool.address);
+    return std::make_shared<EndpointConnection>(*this, id, pool.address, opened_.value());
 }
 
 /// Closes the connection that has been idle longest. Guards against running out of descriptors.
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -130,6 +130,7 @@
                                 self->reading_ = false;
                                 if (self->stage_ == Stage::Closed) return;
                                 if (error) return self->handle_disconnect();
+                                self->record_early_bytes(size);
                                 self->incoming_.commit(size);
                                 self->take_incoming();
                                 if (self->stage_ == Stage::Lingering) {
@@ -141,6 +142,13 @@
                             });
 }
 
+void ClientConnection::record_early_bytes(std::size_t size) {
+    const bool is_open = stage_ == Stage::Writing || (stage_ == Stage::Waiting && !upload_);
+    if (!is_open) return;
+    front_.early_.add();
+    record_.add_early_bytes(size);
+}
+
 void ClientConnection::take_incoming() {
     if (buffer_.size() == 0) {
         std::swap(buffer_, incoming_);
@@ -243,6 +251,7 @@
 void ClientConnection::handle_request(bool arriving) {
     timer_.cancel();
     had_request_ = true;
+    record_.add_request(buffer_.size());
     move_to(front_.busy_);
     const bool keep = parser_->keep_alive();
     parser_version_ = parser_->get().version();
@@ -271,6 +280,7 @@
     keep_ = keep;
     stage_ = Stage::Waiting;
     id_ = event.id;
+    record_.set_name(id_);
     const auto message = take_message(arriving);
     message->class_index = event.class_index;
     auto reply = [self = shared_from_this(), request = ++request_](Answer&& answer) {
@@ -350,6 +360,7 @@
 
 void ClientConnection::withhold(Answer&& answer) {
     front_.withheld_.add();
+    front_.protocol_.on_withheld(answer, id_, record_);
     if (answer.rest) answer.rest->stop_reading();
     Answer failure;
     failure.ticket = std::move(answer.ticket);
@@ -361,6 +372,8 @@
     if (!front_.protocol_.is_answer_to(answer, id_)) return withhold(std::move(answer));
     Reply::Head head{http::status::bad_gateway, 11};
     front_.protocol_.write(answer, id_, head);
+    const auto* endpoint_head = dynamic_cast<const HttpAnswerHead*>(answer.head.get());
+    record_.set_answer(head.result_int(), endpoint_head ? endpoint_head->origin : AnswerOrigin{});
     rest_ = std::move(answer.rest);
     ticket_ = std::move(answer.ticket);
     on_written_ = std::move(answer.on_written);
@@ -382,6 +395,7 @@
 void ClientConnection::reject(http::status status, bool keep, Duration retry_after,
                               const std::vector<std::pair<std::string, std::string>>& fields) {
     body_.clear();
+    record_.set_answer(static_cast<unsigned>(status), {});
     Reply::Head head{status, 11};
     for (const auto& [name, value] : fields) head.set(name, value);
     if (retry_after > Duration{}) head.set(http::field::retry_after, seconds_text(retry_after));
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -15,6 +15,7 @@
 #include "core/loop.h"
 #include "core/pipe.h"
 #include "core/tally.h"
+#include "http1/connection_record.h"
 #include "http1/front.h"
 #include "http1/held_answer.h"
 #include "http1/http.h"
@@ -30,6 +31,7 @@
         : front_(front),
           socket_(std::move(socket)),
           timer_(front.loop_),
+          record_(++front.last_connection_),
           buffer_(kMostBuffer),
           incoming_(kMostBuffer) {}
     void start(Http1Front::Clients::iterator place);
@@ -68,6 +70,8 @@
     void read();
     /// Puts what a read has brought behind what is not parsed yet.
     void take_incoming();
+    /// Notes bytes that come while a request is open, other than those of its body.
+    void record_early_bytes(std::size_t size);
     void handle_disconnect();
     void parse();
 
@@ -125,6 +129,7 @@
     Http1Front& front_;
     asio::ip::tcp::socket socket_;
     Timer timer_;
+    ConnectionRecord record_;
     boost::beast::flat_buffer buffer_;  // read and not parsed yet
     /// What the pending read writes to. Parsing consumes buffer_, which would move under a read into it: its
     /// bytes would be counted where those of an earlier request lie.
--- a/src/http1/endpoint_connection.cpp
+++ b/src/http1/endpoint_connection.cpp
@@ -28,14 +28,16 @@
 
 }  // namespace
 
-EndpointConnection::EndpointConnection(Http1Back& pool, EndpointId id, const Address& address)
+EndpointConnection::EndpointConnection(Http1Back& pool, EndpointId id, const Address& address,
+                                       std::uint64_t number)
     : id(id),
       address(address),
       pool_(pool),
       socket_(pool.loop_.io()),
       limit_(pool.loop_),
       end_(pool.loop_),
-      buffer_(kMostBuffer) {}
+      buffer_(kMostBuffer),
+      origin_{id, number} {}
 
 void EndpointConnection::start(std::shared_ptr<const HttpMessage> message,
                                std::shared_ptr<Http1Back::Outgoing> outgoing, Time end, Back::Done done) {
@@ -48,6 +50,7 @@
         };
     }
     done_ = std::move(done);
+    ++origin_.exchange;
     limit_.cancel();
     end_at(end);
     if (message_) exchanges_.add(pool_.protocol_.exchange_name(*message_));
@@ -208,6 +211,7 @@
     if (status) return answered(*status, clean_end());
     // Guards against taking a late or surplus answer of an earlier request for the one to this.
     pool_.skipped_.add();
+    ++origin_.skipped;
     if (++interim_ > kMaxInterimAnswers || !parser_->keep_alive()) return end_attempt(Status::Reset);
     renew(parser_);
     if (buffer_.size() > 0) parse();
@@ -240,6 +244,7 @@
     auto head = std::make_shared<HttpAnswerHead>();
     head->status = answer.result_int();
     head->fields = answer;
+    head->origin = origin_;
     strip_connection_fields(head->fields);
     return head;
 }
--- a/src/http1/endpoint_connection.h
+++ b/src/http1/endpoint_connection.h
@@ -11,6 +11,7 @@
 #include "core/loop.h"
 #include "core/pipe.h"
 #include "http1/back.h"
+#include "http1/connection_record.h"
 #include "http1/exchange_record.h"
 #include "http1/http.h"
 
@@ -20,7 +21,8 @@
 /// is seen while it carries none.
 class EndpointConnection : public Back::Attempt, public std::enable_shared_from_this<EndpointConnection> {
   public:
-    EndpointConnection(Http1Back& pool, EndpointId id, const Address& address);
+    /// @param number among those that its pool opened
+    EndpointConnection(Http1Back& pool, EndpointId id, const Address& address, std::uint64_t number);
 
     const EndpointId id;
     const Address address;
@@ -112,6 +114,7 @@
     std::shared_ptr<Pipe> rest_;  // of the answer that passes through
     Back::Done done_;
     ExchangeRecord exchanges_;
+    AnswerOrigin origin_;  // of the answer that is expected
 };
 
 }  // namespace martenford
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -39,7 +39,8 @@
       giving_up_(loop),
       room_made_(
           counters.counter("clients.evicted", "connections without a whole request closed to make room")),
-      withheld_(counters.counter("answers.withheld", "answers to another request than the one that waited")) {
+      withheld_(counters.counter("answers.withheld", "answers to another request than the one that waited")),
+      early_(counters.counter("clients.early", "reads that brought bytes while a request was open")) {
     counters.gauge("clients.open", "connections of clients", [this] { return static_cast<double>(held()); });
 }
 Http1Front::~Http1Front() = default;
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -59,6 +59,9 @@
 
     /// Answers that named another request than the one that waited, and were withheld.
     [[nodiscard]] std::uint64_t withheld_answers() const { return withheld_.value(); }
+    /// Reads that brought bytes while their connection's request was open: a client that does not wait for
+    /// its answer, or whose answer's end was seen here later than there.
+    [[nodiscard]] std::uint64_t early_reads() const { return early_.value(); }
     /// Looks at every connection: for the log of a shutdown, not for each request.
     [[nodiscard]] ClientBacklog backlog() const;
 
@@ -110,7 +113,8 @@
     Timer again_, quiet_, letting_go_, giving_up_;
     std::optional<Time> evacuated_;  // since when
     bool replaced_ = false;
-    Counter &room_made_, &withheld_;
+    Counter &room_made_, &withheld_, &early_;
+    std::uint64_t last_connection_ = 0;  // numbers those that are accepted
     std::function<void()> drained_;
     Time answers_end_{};                     // after SIGTERM: when all that is taken must be answered
     std::unique_ptr<HoldLimit> hold_limit_;  // null: answers are passed on as they come
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "core/engine.h"
+#include "http1/connection_record.h"
 #include "http1/http.h"
 
 namespace martenford {
@@ -22,6 +23,7 @@
   public:
     unsigned status = 0;
     http::fields fields;
+    AnswerOrigin origin;
 };
 
 /// What callers may send and how long they may take. Bytes, and times by the steady clock.
@@ -71,7 +73,11 @@
                        http::response_header<>& head) = 0;
     /// Returns false if the answer is an endpoint's and names another request than `id`. Such an answer is
     /// withheld, and the client told that its request failed.
-    virtual bool is_answer_to(const Answer&, const decision::RequestId&) { return true; }
+    [[nodiscard]] virtual bool is_answer_to(const Answer&, const decision::RequestId&) const { return true; }
+    /// An answer was withheld. `record` tells what its client's connection carried last.
+    virtual void on_withheld(const Answer&, const decision::RequestId&, const ConnectionRecord& record) {
+        (void)record;
+    }
 };
 
 class ClientProtocol {
--- a/src/proxy/http_fields.cpp
+++ b/src/proxy/http_fields.cpp
@@ -14,14 +14,19 @@
     return true;
 }
 
-bool check_attempt_id(const Answer& answer, std::string_view attempt_id) {
+bool bears_attempt_id(const Answer& answer, std::string_view attempt_id) {
     const auto* endpoint_head = dynamic_cast<const HttpAnswerHead*>(answer.head.get());
-    if (!endpoint_head) return true;
-    const auto answered = endpoint_head->fields[kAttemptId];
-    if (view_of(answered) == attempt_id) return true;
+    return !endpoint_head || view_of(endpoint_head->fields[kAttemptId]) == attempt_id;
+}
+
+void log_withheld_answer(const Answer& answer, std::string_view attempt_id, const ConnectionRecord& record) {
+    const auto* endpoint_head = dynamic_cast<const HttpAnswerHead*>(answer.head.get());
+    if (!endpoint_head) return;
     event_log::log_event(event_log::Event::AnswerWithheld, "answer to another request withheld",
-                         {{"request", std::string(attempt_id)}, {"answer", std::string(answered)}});
-    return false;
+                         {{"request", std::string(attempt_id)},
+                          {"answer", std::string(endpoint_head->fields[kAttemptId])},
+                          {"origin", endpoint_head->origin.text()},
+                          {"record", record.text()}});
 }
 
 }  // namespace martenford::proxy
--- a/src/proxy/http_fields.h
+++ b/src/proxy/http_fields.h
@@ -40,7 +40,10 @@
 /// Copies the endpoint's own status and fields into `head`. Returns false if the answer is not an endpoint's.
 bool copy_endpoint_head(const Answer& answer, http::response_header<>& head);
 
-/// Returns false, and logs that, if the answer is an endpoint's and bears another Attempt-Id than this.
-[[nodiscard]] bool check_attempt_id(const Answer& answer, std::string_view attempt_id);
+/// Returns false if the answer is an endpoint's and bears another Attempt-Id than this.
+[[nodiscard]] bool bears_attempt_id(const Answer& answer, std::string_view attempt_id);
+
+/// Logs an answer that was withheld from the request with this Attempt-Id, with what is known of both sides.
+void log_withheld_answer(const Answer& answer, std::string_view attempt_id, const ConnectionRecord& record);
 
 }  // namespace martenford::proxy
--- a/src/proxy/inbound_protocol.cpp
+++ b/src/proxy/inbound_protocol.cpp
@@ -131,8 +131,13 @@
     }
 }
 
-bool HopServerProtocol::is_answer_to(const Answer& answer, const RequestId& id) {
-    return check_attempt_id(answer, attempt_id_of(id));
+bool HopServerProtocol::is_answer_to(const Answer& answer, const RequestId& id) const {
+    return bears_attempt_id(answer, attempt_id_of(id));
+}
+
+void HopServerProtocol::on_withheld(const Answer& answer, const RequestId& id,
+                                    const ConnectionRecord& record) {
+    log_withheld_answer(answer, attempt_id_of(id), record);
 }
 
 // ---- the endpoint ---------------------------------------------------------------------------------
--- a/src/proxy/inbound_protocol.h
+++ b/src/proxy/inbound_protocol.h
@@ -31,7 +31,9 @@
     /// admission controller.
     [[nodiscard]] std::variant<decision::Request, TurnAway> read(Fields& head, Time arrived) override;
     void write(const Answer& answer, const decision::RequestId& id, http::response_header<>& head) override;
-    bool is_answer_to(const Answer& answer, const decision::RequestId& id) override;
+    [[nodiscard]] bool is_answer_to(const Answer& answer, const decision::RequestId& id) const override;
+    void on_withheld(const Answer& answer, const decision::RequestId& id,
+                     const ConnectionRecord& record) override;
 
   private:
     [[nodiscard]] TurnAway answer_delivery_query(const HopHeader& hop,
--- a/src/proxy/outbound_protocol.cpp
+++ b/src/proxy/outbound_protocol.cpp
@@ -164,8 +164,13 @@
     head.set(http::field::retry_after, seconds_text(wait));
 }
 
-bool OutboundServerProtocol::is_answer_to(const Answer& answer, const RequestId& id) {
-    return check_attempt_id(answer, id);
+bool OutboundServerProtocol::is_answer_to(const Answer& answer, const RequestId& id) const {
+    return bears_attempt_id(answer, id);
+}
+
+void OutboundServerProtocol::on_withheld(const Answer& answer, const RequestId& id,
+                                         const ConnectionRecord& record) {
+    log_withheld_answer(answer, id, record);
 }
 
 // ---- the hop to the endpoint's proxy --------------------------------------------------------------
--- a/src/proxy/outbound_protocol.h
+++ b/src/proxy/outbound_protocol.h
@@ -60,7 +60,9 @@
     /// Checks the request, finds route, tenant and quota, and hands the plan to the policy.
     [[nodiscard]] std::variant<decision::Request, TurnAway> read(Fields& head, Time arrived) override;
     void write(const Answer& answer, const decision::RequestId& id, http::response_header<>& head) override;
-    bool is_answer_to(const Answer& answer, const decision::RequestId& id) override;
+    [[nodiscard]] bool is_answer_to(const Answer& answer, const decision::RequestId& id) const override;
+    void on_withheld(const Answer& answer, const decision::RequestId& id,
+                     const ConnectionRecord& record) override;
 
   private:
     /// A request that waits for a configuration version.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -25,8 +25,7 @@
     return identity;
 }
 
-void log_totals(const RequestTotals& totals, const MisplacedAnswers& outbound,
-                const MisplacedAnswers& inbound) {
+void log_totals(const RequestTotals& totals, const OutOfTurn& outbound, const OutOfTurn& inbound) {
     log_event(Event::RequestTotals, "answers",
               {{"taken", std::to_string(totals.taken)},
                {"served", std::to_string(totals.served)},
@@ -35,8 +34,10 @@
                {"no_route", std::to_string(totals.no_route)},
                {"no_key", std::to_string(totals.no_key)},
                {"over_quota", std::to_string(totals.over_quota)},
-               {"skipped", std::to_string(outbound.skipped + inbound.skipped)},
-               {"withheld", std::to_string(outbound.withheld + inbound.withheld)}});
+               {"skipped", std::to_string(inbound.skipped)},
+               {"hop_skipped", std::to_string(outbound.skipped)},
+               {"withheld", std::to_string(outbound.withheld + inbound.withheld)},
+               {"early", std::to_string(outbound.early + inbound.early)}});
 }
 
 }  // namespace
@@ -136,7 +137,7 @@
     local_endpoint_.check_heartbeats();
     if (now - totals_logged_at_ >= kRequestTotalsInterval) {
         totals_logged_at_ = now;
-        log_totals(outbound_.totals(), outbound_.misplaced_answers(), inbound_.misplaced_answers());
+        log_totals(outbound_.totals(), outbound_.out_of_turn(), inbound_.out_of_turn());
     }
 }
 
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -32,10 +32,11 @@
 /// within the settings' file descriptors.
 [[nodiscard]] std::size_t max_connections(const bootstrap::Settings& settings);
 
-/// Answers that named another request than the one that waited, since the start of the process.
-struct MisplacedAnswers {
-    std::uint64_t skipped = 0;   ///< on a connection to an endpoint or another proxy
-    std::uint64_t withheld = 0;  ///< about to be given to a client or another proxy
+/// What did not come in its turn on the connections of one direction, since the start of the process.
+struct OutOfTurn {
+    std::uint64_t skipped = 0;   ///< answers to another request than the one that waited, read and dropped
+    std::uint64_t withheld = 0;  ///< the same, about to be given to a client or another proxy
+    std::uint64_t early = 0;     ///< reads that brought bytes while their connection's request was open
 };
 
 class OutboundTraffic {
@@ -63,8 +64,8 @@
     [[nodiscard]] ClientBacklog backlog() const { return listener_.backlog(); }
     [[nodiscard]] quota::QuotaLimiter& quota_limiter() { return quota_limiter_; }
     [[nodiscard]] const RequestTotals& totals() const { return totals_; }
-    [[nodiscard]] MisplacedAnswers misplaced_answers() const {
-        return {connections_.skipped_answers(), listener_.withheld_answers()};
+    [[nodiscard]] OutOfTurn out_of_turn() const {
+        return {connections_.skipped_answers(), listener_.withheld_answers(), listener_.early_reads()};
     }
 
   private:
@@ -95,8 +96,8 @@
     void drain(std::function<void()> done) { listener_.drain(std::move(done), false); }
     /// What other proxies are still owed.
     [[nodiscard]] ClientBacklog backlog() const { return listener_.backlog(); }
-    [[nodiscard]] MisplacedAnswers misplaced_answers() const {
-        return {connections_.skipped_answers(), listener_.withheld_answers()};
+    [[nodiscard]] OutOfTurn out_of_turn() const {
+        return {connections_.skipped_answers(), listener_.withheld_answers(), listener_.early_reads()};
     }
     /// @param callback is called at the end of each attempt at the endpoint.
     void on_attempt_end(std::function<void(decision::Status)> callback);
