Test: a body that breaks off under a held answer gets two answers (known red)

In the programs no way there was found: an endpoint's answer to a request that is still arriving ends its attempt. In a drain the listener's desk answers while the body arrives; the body then breaks off. Measured: fails as it should where the answer ends at once (502 and 400 on one connection); passes where it ends later.

--- a/tests/mesh/connection_record_test.cpp
+++ b/tests/mesh/connection_record_test.cpp
@@ -134,3 +134,26 @@
         expected += "; #" + number + " " + name + " unparsed=" + number + " early=0 503 own";
     CHECK(record.text() == expected);
 }
+
+TEST_CASE("a request whose body breaks off while its answer is held gets one answer") {
+    for (const bool ends_at_once : {true, false}) {
+        CAPTURE(ends_at_once);
+        Listener listener;
+        listener.write(
+            "POST /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n30d40\r\n" +
+            std::string(kLongBody / 2, 'x'));
+        REQUIRE(listener.replies.size() == 1);
+        listener.front.drain([] {}, false);
+        const auto rest = std::make_shared<Pipe>(kLongBody);
+        listener.reply(0, "a", rest);  // held until it is whole
+        CHECK(listener.received_text().empty());
+        // Whoever sends the answer ends it when the request is given up, or later.
+        if (ends_at_once) listener.on_leave = [rest] { rest->fail(); };
+        listener.write(std::string(kLongBody / 2, 'x') + "\r\nno chunk\r\n");
+        rest->finish();
+        listener.run_for(50ms);
+        const std::string text = listener.received_text();
+        CHECK(text.starts_with("HTTP/1.1 400 Bad Request"));
+        CHECK(text.find("HTTP/1.1", 1) == std::string::npos);
+    }
+}
