Mend: a held answer goes before its request is rejected for a broken body

Cause: abandon_upload() left the held answer in place; leaving the desk may end it, and its end was written beside the rejection. Class: two owners of one answer. Change: the held answer is dropped first.

--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -243,7 +243,8 @@
 void ClientConnection::abandon_upload() {
     const auto self = shared_from_this();
     const auto upload = std::exchange(upload_, nullptr);
-    front_.desk_.leave(id_);  // first, as in handle_disconnect()
+    held_answer_.reset();     // before it can end: the rejection is the one answer
+    front_.desk_.leave(id_);  // before the body breaks off, as in handle_disconnect()
     upload->fail();
     reject(http::status::bad_request, false);
 }
