Soak: processor quota, full disk, resets and many killed at once (NEWS-24)

LinkCuts resets the open links of a process; a full disk is a file size limit of 0 with SIGXFSZ ignored; several proxies and the controller are killed at one moment. A hop_skipped above 0 fails the soak as MG702 does.

--- a/tests/mesh/rig/answer_world.cpp
+++ b/tests/mesh/rig/answer_world.cpp
@@ -60,14 +60,15 @@
 
 }  // namespace
 
-AnswerWorld::AnswerWorld(std::uint64_t seed, std::size_t proxies)
+AnswerWorld::AnswerWorld(std::uint64_t seed, std::size_t proxies, Duration processor_quota)
     : random_(seed * 7919),
       fleet_({proxies, kService, config_text,
               [this](std::size_t i) {
                   const std::string address = fleet_.address(i, Port::App);
                   return Heartbeat{"i-" + std::to_string(i),
                                    heartbeat_text(address, kService, "ready", ++heartbeats_[i])};
-              }}),
+              },
+              processor_quota}),
       endpoint_random_(seed),
       endpoints_(proxies),
       heartbeats_(proxies) {}
@@ -155,6 +156,7 @@
 }
 
 void AnswerWorld::start_clients(std::size_t connections, Duration pause) {
+    fleet_.limit_processors();
     clients_run_ = true;
     pause_ = pause;
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
--- a/tests/mesh/rig/answer_world.h
+++ b/tests/mesh/rig/answer_world.h
@@ -29,7 +29,8 @@
 
 class AnswerWorld {
   public:
-    AnswerWorld(std::uint64_t seed, std::size_t proxies);
+    /// @param processor_quota of each process from start_clients() on, in a ProcessorQuota::kPeriod; 0: none
+    AnswerWorld(std::uint64_t seed, std::size_t proxies, Duration processor_quota);
     ~AnswerWorld();
     AnswerWorld(const AnswerWorld&) = delete;
     AnswerWorld& operator=(const AnswerWorld&) = delete;
--- a/tests/mesh/rig/link_cuts.cpp
+++ b/tests/mesh/rig/link_cuts.cpp
@@ -56,6 +56,13 @@
     return ::setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program) == 0;
 }
 
+/// Ends a connection with a TCP reset, which its own process sees as well. Returns false if it is not open.
+bool abort_connection(int socket) {
+    sockaddr disconnect{};
+    disconnect.sa_family = AF_UNSPEC;
+    return ::connect(socket, &disconnect, sizeof disconnect) == 0;
+}
+
 }  // namespace
 
 LinkCuts::LinkCuts(std::set<int> ports, std::set<int> blocked_listen_ports)
@@ -137,6 +144,18 @@
     refresh(all);  // the other partitions
 }
 
+std::size_t LinkCuts::reset_connections(pid_t process) {
+    std::size_t count = 0;
+    for (const Socket& socket : sockets(process)) {
+        const bool is_listener = socket.remote.second == 0;
+        const bool is_link = ports_.contains(socket.local.second) || ports_.contains(socket.remote.second);
+        if (is_listener || !is_link) continue;
+        const Descriptor own(duplicate_descriptor(process, socket.descriptor));
+        if (is_socket(*own, socket.inode) && abort_connection(*own)) ++count;
+    }
+    return count;
+}
+
 void LinkCuts::refresh(const std::vector<pid_t>& all) {
     if (partitioned_.empty()) return;
     std::map<pid_t, std::vector<Socket>> sockets_by_process;
--- a/tests/mesh/rig/link_cuts.h
+++ b/tests/mesh/rig/link_cuts.h
@@ -1,6 +1,7 @@
 // Partitions processes on loopback, in both directions or one, without privileges: a socket filter that drops
 // every packet is attached to sockets of the test's own child processes (pidfd_getfd(2), SO_ATTACH_FILTER).
-// No connection is reset and no packet answered: the peers see silence, as behind an unplugged cable.
+// A cut resets no connection and answers no packet: the peers see silence, as behind an unplugged cable.
+// Connections can also be reset, as by a machine between the two.
 #pragma once
 
 #include <sys/types.h>
@@ -29,6 +30,8 @@
     void cut(pid_t process, Direction direction, const std::vector<pid_t>& all);
     /// Ends the partition of a process.
     void restore(pid_t process, const std::vector<pid_t>& all);
+    /// Resets the open links of a process, in both directions at once. Returns how many.
+    std::size_t reset_connections(pid_t process);
     /// To be called every few milliseconds: filters connections that were opened since. Until then a new one
     /// of a process that is partitioned outwards, to a port that is not blocked, passes packets.
     void refresh(const std::vector<pid_t>& all);
--- a/tests/mesh/rig/processes.cpp
+++ b/tests/mesh/rig/processes.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -74,7 +75,8 @@
     const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(output, 1);
     ::dup2(output, 2);
-    ::close_range(3, ~0U, 0);  // a child with the test's sockets would keep its clients' connections open
+    ::close_range(3, ~0U, 0);    // a child with the test's sockets would keep its clients' connections open
+    ::signal(SIGXFSZ, SIG_IGN);  // a full disk is an error, and no signal
     ::setenv("MARTENFORD_CONFIG", settings.c_str(), 1);
     ::execl(program, program, static_cast<char*>(nullptr));
     ::_exit(127);
@@ -138,6 +140,13 @@
         if (ended) ended(status);
 }
 
+void Processes::set_disk_full(pid_t process, bool full) {
+    rlimit limit{};
+    if (::prlimit(process, RLIMIT_FSIZE, nullptr, &limit) != 0) return;  // it has ended
+    limit.rlim_cur = full ? 0 : limit.rlim_max;
+    ::prlimit(process, RLIMIT_FSIZE, &limit, nullptr);
+}
+
 void Processes::wipe(const std::string& name) {
     std::filesystem::remove_all(directory_ + "/" + name);
 }
--- a/tests/mesh/rig/processes.h
+++ b/tests/mesh/rig/processes.h
@@ -60,6 +60,8 @@
                    std::function<void(int wait_status)> ended);
     /// Collects processes that have ended, and kills those whose grace period is over.
     void reap(Time now);
+    /// While its disk is full every write of the process to a file is refused (EFBIG), its log included.
+    static void set_disk_full(pid_t process, bool full);
     /// Removes the data directory of a controller that is not running.
     void wipe(const std::string& name);
     [[nodiscard]] std::string log(const std::string& name) const;
--- a/tests/mesh/rig/proxy_fleet.cpp
+++ b/tests/mesh/rig/proxy_fleet.cpp
@@ -30,11 +30,22 @@
     return kPorts + static_cast<int>(Port::Inbound);
 }
 
+bool contains(const std::string& line, const char* text) {
+    return line.find(text) != line.npos;
+}
+
+/// Answers that were cut or withheld, or answers of another proxy that nobody waited for.
+bool reports_violation(const std::string& line) {
+    if (contains(line, " MG105 ") || contains(line, " MG702 ")) return true;
+    return contains(line, " MG701 ") && contains(line, " hop_skipped=") && !contains(line, " hop_skipped=0 ");
+}
+
 }  // namespace
 
 ProxyFleet::ProxyFleet(FleetOptions options)
     : options_(std::move(options)),
       cuts_({mesh_port(), inbound_port()}, {mesh_port()}),
+      quota_(options_.processor_quota),
       proxies_(options_.proxies, State::Starting) {}
 
 ProxyFleet::~ProxyFleet() {
@@ -220,8 +231,47 @@
 }
 
 void ProxyFleet::freeze(std::size_t proxy, Duration duration) {
-    processes_.signal(name(proxy), SIGSTOP);
-    fault(duration, [this, proxy] { processes_.signal(name(proxy), SIGCONT); });
+    if (!processes_.is_running(name(proxy))) return;
+    const pid_t pid = processes_.pid(name(proxy));
+    quota_.suspend(pid);
+    fault(duration, [this, pid] { quota_.resume(pid); });
+}
+
+void ProxyFleet::kill_many(std::size_t first, std::size_t count, Duration down) {
+    for (std::size_t i = 0; i < std::min(count, size()); ++i) kill((first + i) % size(), down);
+    kill_controller(down);
+}
+
+void ProxyFleet::reset_connections_of(const std::string& process) {
+    if (!processes_.is_running(process)) return;
+    connection_resets_ += cuts_.reset_connections(processes_.pid(process));
+    fault({}, [] {});
+}
+
+void ProxyFleet::reset_connections(std::size_t proxy) {
+    reset_connections_of(name(proxy));
+}
+
+void ProxyFleet::reset_controller_connections() {
+    reset_connections_of(kController);
+}
+
+void ProxyFleet::fill_controller_disk(Duration duration) {
+    if (!processes_.is_running(kController)) return;
+    const pid_t pid = processes_.pid(kController);
+    Processes::set_disk_full(pid, true);
+    fault(duration, [pid] { Processes::set_disk_full(pid, false); });
+}
+
+// ---- the processor
+
+void ProxyFleet::limit_processors() {
+    if (options_.processor_quota > Duration{}) enforce_quota();
+}
+
+void ProxyFleet::enforce_quota() {
+    quota_.enforce(loop_.now(), processes_.pids());
+    loop_.add(loop_.now() + ProcessorQuota::kCheckInterval, [this] { enforce_quota(); });
 }
 
 void ProxyFleet::cut(std::size_t proxy, Duration duration) {
@@ -263,8 +313,7 @@
     // Of the program's own invariants, whatever faults there were.
     std::istringstream lines(logs());
     for (std::string line; std::getline(lines, line);) {
-        if (line.find(" MG105 ") != line.npos || line.find(" MG702 ") != line.npos)
-            found.push_back("INVARIANT: " + line);
+        if (reports_violation(line)) found.push_back("INVARIANT: " + line);
     }
     return found;
 }
@@ -278,7 +327,8 @@
 std::string ProxyFleet::summary() const {
     return std::to_string(size()) + " proxies, " + std::to_string(stops_.size()) + " planned stops, " +
            std::to_string(reloads_) + " reloads, " + std::to_string(config_version_) + " configurations, " +
-           std::to_string(faults_.size()) + " unplanned faults";
+           std::to_string(faults_.size()) + " unplanned faults, " + std::to_string(connection_resets_) +
+           " connections reset, " + std::to_string(quota_.stops()) + " stops by the quota";
 }
 
 }  // namespace martenford::rig
--- a/tests/mesh/rig/proxy_fleet.h
+++ b/tests/mesh/rig/proxy_fleet.h
@@ -11,6 +11,7 @@
 
 #include "mesh/rig/link_cuts.h"
 #include "mesh/rig/processes.h"
+#include "mesh/rig/processor_quota.h"
 #include "mesh/rig/standins.h"
 
 namespace martenford::rig {
@@ -32,6 +33,8 @@
     std::function<std::string(unsigned version)> config;
     /// Returns the next heartbeat of the endpoint beside a proxy.
     std::function<Heartbeat(std::size_t proxy)> heartbeat;
+    /// Processor time of each process in a ProcessorQuota::kPeriod, once all serve; 0: no quota.
+    Duration processor_quota{};
 };
 
 class ProxyFleet {
@@ -67,6 +70,15 @@
     void freeze(std::size_t proxy, Duration duration);
     void cut(std::size_t proxy, Duration duration);
     void kill_controller(Duration down);
+    /// Kills `count` proxies from this one on, and the controller, at the same moment.
+    void kill_many(std::size_t first, std::size_t count, Duration down);
+    /// The connections between proxies, and to the controller, are reset on this machine.
+    void reset_connections(std::size_t proxy);
+    void reset_controller_connections();
+    /// The controller's disk refuses every write.
+    void fill_controller_disk(Duration duration);
+    /// Enforces the processor quota from now on.
+    void limit_processors();
     /// Notes an unplanned fault, and calls `repair` when it is over.
     void fault(Duration duration, std::function<void()> repair);
 
@@ -102,6 +114,8 @@
     Machine machine(const std::string& name, const std::string& ip) const;
     void start_controller();
     void start_proxy(std::size_t i);
+    void enforce_quota();
+    void reset_connections_of(const std::string& process);
     void poll();
     void send_heartbeats();
     void send_config();
@@ -112,10 +126,11 @@
     const FleetOptions options_;
     Processes processes_;
     LinkCuts cuts_;
+    ProcessorQuota quota_;
     Loop loop_;
     std::vector<State> proxies_;
     std::list<Connection> connections_;
-    std::size_t open_faults_ = 0, reloads_ = 0;
+    std::size_t open_faults_ = 0, reloads_ = 0, connection_resets_ = 0;
     std::vector<Span> faults_;  // unplanned
     std::vector<Span> stalls_;  // of the test
     Time polled_at_{};
