--- a/tests/mesh/hop_test.cpp
+++ b/tests/mesh/hop_test.cpp
@@ -182,3 +182,60 @@
     refusal.set("Attempt-Id", "a");
     CHECK(classify() == decision::Status::Full);
 }
+
+TEST_CASE("endpoints that turn requests away: further arrivals stay within the retry budget") {
+    World world(1, 4);
+    std::map<std::string, int> arrivals;
+    int count = 0;
+    for (const auto& proxy : world.inbound_proxies) {
+        proxy->endpoint.script = [&](const std::string& id, int) {
+            ++arrivals[id];
+            Endpoint::Script script;
+            script.executes = ++count % 10 >= 3;  // the others are turned away
+            script.response = script.executes ? response_text("200 OK", id, "Server-Seal: s\r\n", "")
+                                              : response_text("503 Full", id, "Not-Executed: 1\r\n", "");
+            return script;
+        };
+    }
+    constexpr int kClients = 4, kRequestsEach = 50;
+    REQUIRE(world.run_clients(kClients, kRequestsEach));
+    int further_arrivals = 0;
+    for (const auto& [id, arrived] : arrivals) further_arrivals += arrived - 1;
+    // A tenth of the requests, and the three retries that a full budget holds.
+    CHECK(further_arrivals <= kClients * kRequestsEach / 10 + 3);
+    for (const auto& [id, request] : world.history.requests) {
+        REQUIRE(request.response);
+        const unsigned status = request.response->status;
+        CHECK((status == 200 || status == 503));
+    }
+}
+
+TEST_CASE("a body that is still arriving goes to one endpoint alone") {
+    World world(1, 2);
+    std::vector<std::string> bodies;
+    for (const auto& proxy : world.inbound_proxies) {
+        proxy->endpoint.script = [&, endpoint = &proxy->endpoint](const std::string& id, int) {
+            bodies.push_back(endpoint->last_request.body());
+            return Endpoint::Script{response_text("200 OK", id, "Server-Seal: s\r\n", "")};
+        };
+    }
+    const std::string half(100'000, 'x');
+    tcp::socket client(world.loop().io());
+    client.connect(world.front.listens_at());
+    asio::write(client,
+                asio::buffer(World::request_text("a", true, "Content-Length: 200000\r\n\r\n" + half)));
+    const auto pause = [&](Duration duration) {
+        const Time end = world.loop().now() + duration;
+        world.wait_for([&] { return world.loop().now() >= end; });
+    };
+    pause(30ms);
+    for (const std::uint32_t id : {1U, 2U}) world.withdraw(static_cast<decision::EndpointId>(id));
+    pause(500ms);  // longer than a retry waits
+    asio::write(client, asio::buffer(half));
+    REQUIRE(world.wait_for([&] { return client.available() > 0; }, 5s));
+    std::string text(client.available(), '\0');
+    asio::read(client, asio::buffer(text));
+    CHECK(text.starts_with("HTTP/1.1 200"));
+    REQUIRE(bodies.size() == 1);
+    CHECK(bodies[0].size() == 2 * half.size());
+}
--- a/tests/mesh/hop_world.h
+++ b/tests/mesh/hop_world.h
@@ -178,6 +178,11 @@
         return received;
     }
 
+    /// The lease of this inbound proxy has expired.
+    void withdraw(decision::EndpointId id) {
+        outbound_policy_.withdraw(id);
+        engine_.tell({});
+    }
     Loop& loop() { return loop_; }
     proxy::HopClientProtocol& hop_protocol() { return hop_protocol_; }
     ServerProtocol& server_protocol() { return outbound_; }
