Mend: signals are held back from a program's start until it handles them, and after

Cause: SIGTERM, SIGINT and SIGHUP kept their default action until ProcessSignals was made, some milliseconds in, and again from its destruction to the exit of a controller. Class: a window between two owners of a signal. Change: start_program() blocks them, ProcessSignals unblocks them once its handlers are installed and blocks them again when it goes. Before main() (the loader's work) nothing of ours can hold them back.

--- a/src/bootstrap/program.cpp
+++ b/src/bootstrap/program.cpp
@@ -22,6 +22,15 @@
 
 enum class Action { Run, CheckSettings };
 
+/// Blocks or unblocks the signals that the programs handle, in this thread and in those that it starts.
+/// @param how SIG_BLOCK or SIG_UNBLOCK
+void mask_handled_signals(int how) {
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, signal);
+    pthread_sigmask(how, &signals, nullptr);
+}
+
 void print_help(const ProgramDescription& program) {
     std::cout << program.name << ": " << program.summary
               << ". Settings: MARTENFORD_CONFIG.\n"
@@ -63,6 +72,7 @@
     const auto parsed = parse_command_line(argc, argv, program);
     if (const auto* exit_code = std::get_if<ExitCode>(&parsed)) return *exit_code;
 
+    mask_handled_signals(SIG_BLOCK);
     event_log::open(program.name);
     auto loaded = load();
     if (const auto* error = std::get_if<SettingsError>(&loaded)) {
@@ -119,6 +129,11 @@
       reload_signals_(loop.io(), SIGHUP) {
     watch_for_termination();
     watch_for_reload();
+    mask_handled_signals(SIG_UNBLOCK);
+}
+
+ProcessSignals::~ProcessSignals() {
+    mask_handled_signals(SIG_BLOCK);
 }
 
 void ProcessSignals::watch_for_termination() {
--- a/src/bootstrap/program.h
+++ b/src/bootstrap/program.h
@@ -38,7 +38,8 @@
 /// Handles --help, --events and --check, opens the event log, loads the settings and checks that the required
 /// ones are set. Returns the settings to run with, or the exit code: 0 after an option that was answered,
 /// kExitBadSettings after an unknown option or one MG event that names the faulty field. Called once per
-/// process, before anything is logged.
+/// process, before anything is logged. SIGTERM, SIGINT and SIGHUP are held back from here on, until
+/// ProcessSignals handles them: their default action would end the process.
 [[nodiscard]] std::variant<Settings, ExitCode> start_program(int argc, char** argv,
                                                              const ProgramDescription& program);
 
@@ -60,7 +61,8 @@
 /// True if `address` ("ip:port") is on the machine of a seed, whatever its port.
 [[nodiscard]] bool is_seed_address(const Settings& settings, const std::string& address);
 
-/// Handles SIGTERM, SIGINT and SIGHUP for as long as it lives. The handlers run on the loop.
+/// Handles SIGTERM, SIGINT and SIGHUP for as long as it lives; after that they are held back again. The
+/// handlers run on the loop.
 class ProcessSignals {
   public:
     struct Handlers {
@@ -71,8 +73,9 @@
         std::function<void(const Settings&)> on_reload;
     };
 
-    /// From now on the signals no longer end the process.
+    /// From now on the signals no longer end the process. Those that were held back come now.
     ProcessSignals(Loop& loop, Handlers handlers);
+    ~ProcessSignals();
     ProcessSignals(const ProcessSignals&) = delete;
     ProcessSignals& operator=(const ProcessSignals&) = delete;
 
