Mend: an offer after an endpoint's own rejection costs what a retry costs

Cause: a rejection proves that a request did not run, and was free whoever gave it. One by the endpoint itself is an arrival there, which the mesh's budget of further arrivals counts: with three in ten turned away each request arrived 1.43 times. Class: a bound that counts one thing (runs) where the rule counts another (arrivals). Change: the endpoint's proxy says so beside its rejection (Mesh-Turned-Away); the caller's policy spends retry tokens for the next offer, and with none left refuses the request with a time to come back. Rejections by a proxy stay free.

--- a/src/outbound/outbound_policy.cpp
+++ b/src/outbound/outbound_policy.cpp
@@ -142,6 +142,13 @@
     actions_->push_back(SetTimer{*call.resume_at, call.number});
 }
 
+/// A rejection proves that the request did not run: it is offered to the next upstream at once. An endpoint
+/// that turned it away did get it, so that the next offer is one more arrival and costs what a retry costs.
+void OutboundPolicy::offer_again(Call& call, const Attempt& rejected) {
+    if (rejected.turned_away && !spend_retry_tokens(call)) return give_up(call);
+    try_send(call);
+}
+
 void OutboundPolicy::on(const TimerFired& timer) {
     const auto number = ids_by_number_.find(timer.token);
     if (number == ids_by_number_.end()) return;
@@ -169,7 +176,7 @@
     if (attempt.queries_attempt) return on_delivery_answer(call, attempt, outcome.status);
     if (outcome.status == Status::Reset && query_delivery(call, outcome.attempt)) return;
     if (never_ran) call.rejected_by.push_back(attempt.to);
-    go_on(call, never_ran);
+    go_on(call, attempt);
 }
 
 void OutboundPolicy::record_outcome(Call& call, const Outcome& outcome, bool never_ran) {
@@ -183,12 +190,12 @@
 }
 
 /// What follows an attempt that did not bring the final answer.
-void OutboundPolicy::go_on(Call& call, bool never_ran) {
+void OutboundPolicy::go_on(Call& call, const Attempt& ended) {
     // Another attempt is in flight, or about to be sent.
     if (call.resume_at || has_reliable_attempt(call)) return;
     if (call.plan_renewed) return continue_with_new_plan(call);
     if (call.outdated) return wait_for_new_plan(call);
-    if (never_ran) return try_send(call);
+    if (!ended.may_have_run) return offer_again(call, ended);
     retry(call);
 }
 
@@ -233,6 +240,14 @@
     if (it != calls_.end() && !it->second.attempts.empty()) it->second.attempts.back().delivered = true;
 }
 
+void OutboundPolicy::turned_away(const RequestId& id, EndpointId at) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end()) return;
+    for (Attempt& attempt : it->second.attempts) {
+        if (attempt.in_flight && attempt.to == at) attempt.turned_away = true;
+    }
+}
+
 // --- Newer configurations --------------------------------------------------------------------------------
 
 void OutboundPolicy::outdated(const RequestId& id) {
--- a/src/outbound/outbound_policy.h
+++ b/src/outbound/outbound_policy.h
@@ -10,9 +10,10 @@
 // That only idempotent requests are retried follows section "Mistake #6: retrying non-idempotent operations".
 //
 // What the mesh adds: a rejection by an inbound proxy proves that the request did not run. It is no failure
-// and costs no budget; the request is offered to the next upstream at once. If a connection breaks under a
-// request that must not run twice, the inbound proxy is asked whether it passed the request on; only its "no"
-// frees the request for another upstream.
+// and costs no budget; the request is offered to the next upstream at once. If the endpoint itself turned it
+// away, the next offer costs as much as a retry: it is one more arrival at an endpoint. If a connection
+// breaks under a request that must not run twice, the inbound proxy is asked whether it passed the request
+// on; only its "no" frees the request for another upstream.
 //
 // Driven by core::Engine through Policy: events in, actions out. Pure: no I/O and no clock; all randomness
 // comes from the seed. Not thread safe; one event loop owns it.
@@ -100,6 +101,9 @@
     /// The inbound proxy confirmed that it passed the attempt in flight on to its endpoint.
     void delivered(const RequestId& id);
 
+    /// The endpoint `at` got the attempt in flight there and turned it away: it did not run, but it arrived.
+    void turned_away(const RequestId& id, EndpointId at);
+
     /// This proxy shuts down: from now on a request is not given up while an endpoint may be working on it.
     void drain() { draining_ = true; }
 
@@ -139,6 +143,7 @@
 
     // Retries, by the paper.
     void retry(Call& call);
+    void offer_again(Call& call, const Attempt& rejected);
     static bool may_run_again(const Call& call);
     void earn_retry_token(const Call& call);
     bool spend_retry_tokens(const Call& call);
@@ -149,7 +154,7 @@
     void record_outcome(Call& call, const decision::Outcome& outcome, bool never_ran);
     void on_delivery_answer(Call& call, const Attempt& query, Status status);
     bool query_delivery(Call& call, std::size_t attempt);
-    void go_on(Call& call, bool never_ran);
+    void go_on(Call& call, const Attempt& ended);
     void wait_for_new_plan(Call& call);
     void continue_with_new_plan(Call& call);
 
--- a/src/outbound/upstream_pool.h
+++ b/src/outbound/upstream_pool.h
@@ -40,6 +40,7 @@
     bool may_have_run = false;   ///< ended without proof that the endpoint did not get it
     bool upstream_lost = false;  ///< its proxy is gone or its lease has expired; the answer may still come
     bool delivered = false;      ///< the inbound proxy confirmed that it passed the request to the endpoint
+    bool turned_away = false;    ///< the endpoint got it, and rejected it itself
     Time sent_at{};
     /// Set if this is no attempt to run the request, but a query to the inbound proxy whether that earlier
     /// attempt (by index) was ever passed on.
--- a/src/proxy/hop_header.h
+++ b/src/proxy/hop_header.h
@@ -16,6 +16,8 @@
 inline constexpr char kHopField[] = "Mesh-Hop";  ///< a HopHeader
 /// Response: the request was not delivered to the endpoint; the value is the queue wait in ms.
 inline constexpr char kHopRejectedField[] = "Mesh-Refused";
+/// Response, beside a rejection: the endpoint got the request and turned it away.
+inline constexpr char kHopTurnedAwayField[] = "Mesh-Turned-Away";
 /// Response: the request was delivered to the endpoint and may have run.
 inline constexpr char kHopDeliveredField[] = "Mesh-Failed";
 /// Response, beside a rejection: the newer configuration version by which the request is planned otherwise.
--- a/src/proxy/inbound_protocol.cpp
+++ b/src/proxy/inbound_protocol.cpp
@@ -119,6 +119,7 @@
     if (copy_endpoint_head(answer, head)) {
         // These fields are this proxy's alone: an endpoint that sets them proves nothing.
         head.erase(kHopRejectedField);
+        head.erase(kHopTurnedAwayField);
         head.erase(kHopDeliveredField);
         return;
     }
@@ -126,6 +127,7 @@
     if (answer.kind == Answer::Kind::Refused) {
         head.result(http::status::service_unavailable);
         head.set(kHopRejectedField, queue_wait_text());
+        if (admission_.was_turned_away(id)) head.set(kHopTurnedAwayField, "1");
     } else {
         head.set(kHopDeliveredField, "1");
     }
--- a/src/proxy/outbound_protocol.cpp
+++ b/src/proxy/outbound_protocol.cpp
@@ -216,6 +216,8 @@
     if (!head[kHopRejectedField].empty()) {
         const auto wait_ms = whole_number(head[kHopRejectedField]).value_or(kAssumedQueueWaitMs);
         policy_.queue_hint(from, loop_.now(), std::chrono::milliseconds(wait_ms));
+        if (message && !head[kHopTurnedAwayField].empty())
+            policy_.turned_away(RequestId(message->field(kAttemptId)), from);
         const auto newer = whole_number(head[kHopConfigVersionField]);
         if (message && newer) outbound_.outdated(*message, static_cast<mesh_config::Version>(*newer));
         return Status::Full;
