Mend: a body that is still arriving goes to one attempt alone

Cause: when the lease of an upstream's proxy expires, its idempotent requests get a second attempt beside the first. Both took pieces of a body that was still arriving. Class: two consumers of one stream. Change: the policy makes no second attempt beside the first for such a request; the engine sends none while one is out, whatever a policy says.

--- a/src/core/back.h
+++ b/src/core/back.h
@@ -28,6 +28,8 @@
     virtual std::string_view key() const { return {}; }
     /// The bytes of the body that are held now; all of it unless it goes on as it comes.
     virtual std::string_view held_body() const { return {}; }
+    /// Whether a part of it comes while it is sent: two attempts at once would each take pieces of it.
+    virtual bool arrives_in_pieces() const { return false; }
     /// Whether a further attempt could carry it: not once a part of it was handed on and let go.
     virtual bool resendable() const { return true; }
 };
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -146,6 +146,12 @@
     std::visit(Visitor{*this}, action);
 }
 
+bool Engine::Call::may_send(Time now, std::size_t max_attempts) const {
+    if (!reply || now >= deadline || attempts.size() >= max_attempts) return false;
+    const bool is_out = std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
+    return !is_out || !message || !message->arrives_in_pieces();
+}
+
 void Engine::send(const Send& send) {
     const auto it = calls_.find(send.id);
     const Time now = scheduler_.now();
@@ -153,8 +159,9 @@
     if (it == calls_.end()) return;
     Call& call = it->second;
     const std::size_t number = call.attempts.size();
+    const bool may_send = call.may_send(now, limits_.max_attempts);
     call.attempts.push_back({{}, now});
-    if (!call.reply || now >= call.deadline || number >= limits_.max_attempts) {
+    if (!may_send) {
         return ended(send.id, number, send.endpoint, Result{Status::NotSent});
     }
     if (observer_) observer_->sent(send.id, number, send.endpoint);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -100,6 +100,8 @@
         bool out = true;
     };
     struct Call {
+        /// Whether another attempt may begin now.
+        [[nodiscard]] bool may_send(Time now, std::size_t max_attempts) const;
         explicit Call(Scheduler& scheduler) : backstop(scheduler) {}
         std::shared_ptr<const Message> message;
         Time deadline{};
--- a/src/http1/http.h
+++ b/src/http1/http.h
@@ -101,6 +101,7 @@
         const auto value = head[boost::beast::string_view(name.data(), name.size())];
         return {value.data(), value.size()};
     }
+    bool arrives_in_pieces() const override { return rest != nullptr; }
     bool resendable() const override { return !rest || !rest_begun; }
 
     http::request_header<> head;
--- a/src/outbound/outbound_policy.cpp
+++ b/src/outbound/outbound_policy.cpp
@@ -306,6 +306,8 @@
     for (const EndpointId upstream : std::exchange(withdrawn_upstreams_, {})) {
         for (auto& [id, call] : calls_) {
             if (!call.open || !call.plan.idempotent) continue;
+            // Its body goes to one attempt as it comes; another one beside that would take pieces of it.
+            if (call.request.arriving) continue;
             const bool newly_lost = mark_upstream_lost(call, upstream);
             if (newly_lost && !has_reliable_attempt(call) && !call.resume_at) affected.push_back(id);
         }
