Plays: with the lost disks all other machines go down, proxies too; soaks share a frame

Change: the play's fault kills the proxies at the same moment; a proxy's own fault waits for it or lets it pass. rig/soak.h has the report of a seed and the options from the environment, once for three tests.

--- a/tests/mesh/answer_soak_test.cpp
+++ b/tests/mesh/answer_soak_test.cpp
@@ -6,12 +6,11 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <cstdlib>
-#include <iostream>
 #include <random>
 #include <string>
 
 #include "mesh/rig/answer_world.h"
+#include "mesh/rig/soak.h"
 
 using namespace martenford;
 using namespace martenford::rig;
@@ -30,11 +29,6 @@
 /// A series of a large fleet must have ended when the world settles.
 constexpr Duration kMaxSeriesTime = 5s;
 
-std::uint64_t from_environment(const char* name, std::uint64_t default_value) {
-    const char* value = std::getenv(name);
-    return value ? std::strtoull(value, nullptr, 10) : default_value;
-}
-
 /// Planned work throughout; unplanned faults in the middle third.
 class AnswerSoak {
   public:
@@ -121,11 +115,7 @@
     const Duration quota = 1us * from_environment("MARTENFORD_QUOTA", static_cast<std::uint64_t>(default_us));
     AnswerSoak soak(seed, proxies, span, quota);
     soak.run();
-    const auto violations = soak.world().violations();
-    std::cout << "seed " << seed << ": " << soak.world().summary() << "\n";
-    std::string text;
-    for (const std::string& violation : violations) text += violation + "\n";
-    CHECK_MESSAGE(violations.empty(), "seed " << seed << "\n" << text << soak.world().fleet().logs());
+    check_soak(seed, soak.world());
 }
 
 }  // namespace
--- a/tests/mesh/plays_test.cpp
+++ b/tests/mesh/plays_test.cpp
@@ -3,21 +3,16 @@
 // ones. MARTENFORD_SEED selects a single play, MARTENFORD_COURSE=1 prints its transcript.
 #include <doctest/doctest.h>
 
-#include <cstdlib>
 #include <iostream>
 
 #include "mesh/rig/play.h"
+#include "mesh/rig/soak.h"
 
 using namespace martenford;
 using namespace martenford::rig;
 
 namespace {
 
-std::uint64_t from_environment(const char* name, std::uint64_t default_value) {
-    const char* value = std::getenv(name);
-    return value ? std::strtoull(value, nullptr, 10) : default_value;
-}
-
 double seconds(Duration time) {
     return std::chrono::duration<double>(time).count();
 }
--- a/tests/mesh/rig/faults.h
+++ b/tests/mesh/rig/faults.h
@@ -24,7 +24,7 @@
     KillAll,                // restarted within a second
     WipeTolerated,          // the tolerated number of disks is wiped, from that of
                             // `machine` on
-    WipeToleratedKillRest,  // and all others are killed at the same time
+    WipeToleratedKillRest,  // and all other machines, the proxies' too, are killed at the same time
     // of one proxy
     ProxyKill,
     ProxyFreeze,
--- a/tests/mesh/rig/play_faults.cpp
+++ b/tests/mesh/rig/play_faults.cpp
@@ -139,6 +139,7 @@
                                  if (wipe) processes_.wipe(controller_name(i));
                              });
     }
+    if (fault.kind == FaultKind::WipeToleratedKillRest) kill_all_proxies(fault.lasts);
     loop_.add(loop_.now() + fault.lasts, [this, killed, fault] {
         when([this, killed] { return none_runs(killed); },
              [this, killed, fault] {
@@ -148,6 +149,16 @@
     });
 }
 
+/// Those that are terminating are restarted by the fault that terminates them.
+void Play::kill_all_proxies(Duration down) {
+    for (std::size_t i = 0; i < proxies_.size(); ++i) {
+        if (!processes_.is_up(proxy_name(i))) continue;
+        processes_.terminate(
+            proxy_name(i), Processes::Termination::Kill, loop_.now(), kTerminationGrace,
+            [this, i, down](int) { loop_.add(loop_.now() + down, [this, i] { start_proxy(i); }); });
+    }
+}
+
 bool Play::none_runs(const std::vector<std::size_t>& controllers) const {
     return std::none_of(controllers.begin(), controllers.end(),
                         [this](std::size_t i) { return processes_.is_running(controller_name(i)); });
@@ -157,6 +168,7 @@
 
 void Play::restart_proxy(const Fault& fault) {
     const std::size_t i = fault.machine;
+    if (!processes_.is_up(proxy_name(i))) return repaired(fault);  // all proxies are being restarted
     processes_.terminate(proxy_name(i), Processes::Termination::Kill, loop_.now(), kTerminationGrace,
                          [this, i, fault](int) { repair_later(fault, [this, i] { start_proxy(i); }); });
 }
@@ -170,13 +182,16 @@
 void Play::restart_proxy_gracefully(const Fault& fault) {
     const std::size_t i = fault.machine;
     drain_endpoint(i, loop_.now() + kMaxDrainingReportTime, [this, i, fault] {
-        processes_.terminate(proxy_name(i), Processes::Termination::Graceful, loop_.now(), kTerminationGrace,
-                             [this, i, fault](int) {
-                                 repair_later(fault, [this, i] {
-                                     start_proxy(i);
-                                     start_endpoint(i);
-                                 });
-                             });
+        when([this, i] { return processes_.is_up(proxy_name(i)); },
+             [this, i, fault] {
+                 processes_.terminate(proxy_name(i), Processes::Termination::Graceful, loop_.now(),
+                                      kTerminationGrace, [this, i, fault](int) {
+                                          repair_later(fault, [this, i] {
+                                              start_proxy(i);
+                                              start_endpoint(i);
+                                          });
+                                      });
+             });
     });
 }
 
--- a/tests/mesh/rig/play_run.h
+++ b/tests/mesh/rig/play_run.h
@@ -126,6 +126,7 @@
     void repair_later(const Fault& fault, Action repair);
     void repaired(const Fault& fault);
     void end_controller(std::size_t i, Processes::Termination how, Action ended);
+    void kill_all_proxies(Duration down);
     bool none_runs(const std::vector<std::size_t>& controllers) const;
     /// Shuts an endpoint down gracefully: reports draining until that is accepted, serves on for `drain_ms`,
     /// deregisters and stops.
--- a/tests/mesh/rig/processes.cpp
+++ b/tests/mesh/rig/processes.cpp
@@ -95,6 +95,11 @@
     processes_[machine.name] = {pid, Termination::None, Time::max(), nullptr};
 }
 
+bool Processes::is_up(const std::string& name) const {
+    const auto process = processes_.find(name);
+    return process != processes_.end() && process->second.termination == Termination::None;
+}
+
 std::vector<pid_t> Processes::pids() const {
     std::vector<pid_t> all;
     for (const auto& [name, process] : processes_) all.push_back(process.pid);
--- a/tests/mesh/rig/processes.h
+++ b/tests/mesh/rig/processes.h
@@ -52,6 +52,8 @@
     /// Writes the settings file and starts the program. A controller keeps its data directory over restarts.
     void start(const Machine& machine);
     [[nodiscard]] bool is_running(const std::string& name) const { return processes_.contains(name); }
+    /// Whether it runs and nothing has terminated it.
+    [[nodiscard]] bool is_up(const std::string& name) const;
     [[nodiscard]] pid_t pid(const std::string& name) const { return processes_.at(name).pid; }
     [[nodiscard]] std::vector<pid_t> pids() const;
     void signal(const std::string& name, int signal);
--- a/tests/mesh/soak_test.cpp
+++ b/tests/mesh/soak_test.cpp
@@ -2,10 +2,10 @@
 // frozen, cut off, and robbed of answers, two or three troubles at a time. Checks what clients saw, and that
 // no process reported a violated invariant (MG105). Three seeds; tests/long/shutdown_soak.sh plays many and
 // longer ones. MARTENFORD_SEED selects one, MARTENFORD_SPAN its length in seconds.
+#include "mesh/rig/soak.h"
+
 #include <doctest/doctest.h>
 
-#include <cstdlib>
-#include <iostream>
 #include <random>
 #include <string>
 
@@ -19,11 +19,6 @@
 constexpr std::size_t kProxies = 4;
 constexpr std::size_t kConnectionsPerProxy = 6;
 
-std::uint64_t from_environment(const char* name, std::uint64_t default_value) {
-    const char* value = std::getenv(name);
-    return value ? std::strtoull(value, nullptr, 10) : default_value;
-}
-
 /// Planned stops throughout; unplanned faults in every other step, drawn from the seed.
 class Soak {
   public:
@@ -77,11 +72,7 @@
 void check(std::uint64_t seed, Duration span) {
     Soak soak(seed, span);
     soak.run();
-    const auto violations = soak.world().violations();
-    std::cout << "seed " << seed << ": " << soak.world().summary() << "\n";
-    std::string text;
-    for (const std::string& violation : violations) text += violation + "\n";
-    CHECK_MESSAGE(violations.empty(), "seed " << seed << "\n" << text << soak.world().fleet().logs());
+    check_soak(seed, soak.world());
 }
 
 }  // namespace
