--- a/src/control_api/control_api.cpp
+++ b/src/control_api/control_api.cpp
@@ -96,17 +96,17 @@
     : handlers_(std::move(handlers)),
       front_(
           loop, *this, *this, max_connections, [] { return true; }, counters) {
-    limits_.most_body = kMaxConfigBytes;
-    limits_.whole_body = kMaxConfigBytes;
+    limits_.max_body_bytes = kMaxConfigBytes;
+    limits_.max_buffered_body_bytes = kMaxConfigBytes;
     limits_.idle_time = kIdleTimeout;
     limits_.head_time = kHeaderTimeout;
 }
 
-std::variant<decision::Request, TurnAway> ApiServer::read(Fields& head, Time arrived) {
+std::variant<decision::Request, LocalReply> ApiServer::read(Fields& head, Time arrived) {
     const auto target = head.target();
     const Match found = match(head.method(), {target.data(), target.size()});
-    if (found.wrong_method) return TurnAway{http::status::method_not_allowed};
-    if (!found.spec || !handlers_.contains(found.spec->name)) return TurnAway{http::status::not_found};
+    if (found.wrong_method) return LocalReply{http::status::method_not_allowed};
+    if (!found.spec || !handlers_.contains(found.spec->name)) return LocalReply{http::status::not_found};
     decision::Request request;
     request.id = std::to_string(++last_request_number_);
     request.class_index = static_cast<std::uint32_t>(found.spec - call_table().data());
--- a/src/control_api/control_api.h
+++ b/src/control_api/control_api.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "core/engine.h"
-#include "http1/front.h"
+#include "http1/listener.h"
 #include "http1/protocol.h"
 
 namespace martenford::control_api {
@@ -71,7 +71,7 @@
 [[nodiscard]] Match match(http::verb verb, std::string_view path);
 
 /// Serves calls on one port.
-class ApiServer : private ServerProtocol, private Desk {
+class ApiServer : private ServerProtocol, private RequestHandler {
   public:
     /// Serves the calls for which there is a handler; others are answered with 404, and 405 for a wrong
     /// method. Accepts up to `max_connections`.
@@ -82,11 +82,11 @@
 
   private:
     // ServerProtocol
-    [[nodiscard]] const FrontLimits& limits() const override { return limits_; }
+    [[nodiscard]] const ListenerLimits& limits() const override { return limits_; }
     [[nodiscard]] DrainTimes drain_times() const override { return {100ms, 0ms, 500ms, 0ms}; }
-    std::variant<decision::Request, TurnAway> read(Fields& head, Time arrived) override;
+    std::variant<decision::Request, LocalReply> read(Fields& head, Time arrived) override;
     void write(const Answer& answer, const decision::RequestId& id, http::response_header<>& head) override;
-    // Desk (core/engine.h): takes the requests that the front has read
+    // RequestHandler (core/engine.h): takes the requests that the front has read
     bool take(decision::Request request, std::shared_ptr<const Message> message, Reply reply) override;
     void received(const decision::RequestId&, Time) override {}
     void leave(const decision::RequestId& id) override { pending_replies_.erase(id); }
@@ -94,10 +94,10 @@
     void respond_to(const decision::RequestId& id, Response&& response);
 
     std::map<CallName, Handler> handlers_;
-    FrontLimits limits_;
+    ListenerLimits limits_;
     std::uint64_t last_request_number_ = 0;
     std::map<decision::RequestId, Reply> pending_replies_;  ///< of calls whose caller waits
-    Http1Front front_;
+    HttpListener front_;
 };
 
 }  // namespace martenford::control_api
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -34,11 +34,11 @@
 };
 
 /// Who takes requests from a front: the engine, or whoever answers calls by itself.
-class Desk {
+class RequestHandler {
   public:
     using Reply = std::function<void(Answer&&)>;
 
-    virtual ~Desk() = default;
+    virtual ~RequestHandler() = default;
     /// Takes a request; `reply` is called once, unless the client leaves first. False where one with the same
     /// id is still under way: then nothing was taken.
     virtual bool take(decision::Request request, std::shared_ptr<const Message> message, Reply reply) = 0;
@@ -63,7 +63,7 @@
     virtual void left(const decision::RequestId& id) = 0;
 };
 
-class Engine : public Desk {
+class Engine : public RequestHandler {
   public:
     /// `policy` decides; attempts go through `back`. Both, and the scheduler, outlive what they carry.
     Engine(Scheduler& scheduler, Back& back, const decision::Limits& limits, std::unique_ptr<Policy> policy,
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -54,11 +54,11 @@
 
 }  // namespace
 
-void ClientConnection::start(Http1Front::Clients::iterator place) {
+void ClientConnection::start(HttpListener::Clients::iterator place) {
     position_ = place;
     next_request();
     // In an evacuation none is held idle; whoever asks whether it is over does so at once.
-    const Duration most = front_.evacuated() ? kAskTime : limits().head_time;
+    const Duration most = listener_.evacuated() ? kAskTime : limits().head_time;
     timer_.set(Loop::monotonic() + most, [self = shared_from_this()] { self->close(); });
     read();
 }
@@ -83,7 +83,7 @@
     if (stage_ != Stage::Waiting || upload_) return;
     const auto self = shared_from_this();
     held_answer_.reset();
-    front_.desk_.leave(id_);
+    listener_.request_handler_.leave(id_);
     write_answer(Answer{});
 }
 
@@ -96,20 +96,20 @@
     if (rest_) std::exchange(rest_, nullptr)->stop_reading();
     error_code ignored;
     socket_.close(ignored);
-    front_.closed(*list_, position_);
+    listener_.closed(*list_, position_);
 }
 
 void ClientConnection::next_request() {
     stage_ = Stage::Reading;
-    move_to(front_.waiting_);
-    renew(parser_, limits().most_header, limits().most_body);
+    move_to(listener_.waiting_);
+    renew(parser_, limits().max_header_bytes, limits().max_body_bytes);
     continue_sent_ = false;
     deadline_ = {};
     paused_ = {};
     paused_since_.reset();
 }
 
-void ClientConnection::move_to(Http1Front::Clients& to) {
+void ClientConnection::move_to(HttpListener::Clients& to) {
     to.splice(to.end(), *list_, position_);
     list_ = &to;
     listed_since_ = Loop::monotonic();
@@ -122,7 +122,7 @@
         if (!paused_since_) paused_since_ = Loop::monotonic();
         return;
     }
-    if (!passing && stage_ != Stage::Lingering && buffer_.size() > limits().most_header) return;
+    if (!passing && stage_ != Stage::Lingering && buffer_.size() > limits().max_header_bytes) return;
     if (paused_since_) paused_ += Loop::monotonic() - *std::exchange(paused_since_, std::nullopt);
     reading_ = true;
     socket_.async_read_some(incoming_.prepare(read_size(buffer_, passing)),
@@ -145,7 +145,7 @@
 void ClientConnection::record_early_bytes(std::size_t size) {
     const bool is_open = stage_ == Stage::Writing || (stage_ == Stage::Waiting && !upload_);
     if (!is_open) return;
-    front_.early_.add();
+    listener_.early_.add();
     record_.add_early_bytes(size);
 }
 
@@ -165,7 +165,7 @@
     const auto upload = std::exchange(upload_, nullptr);
     close();
     // Before its body breaks off: guards against blaming the endpoint that was getting it.
-    if (open) front_.desk_.leave(id_);
+    if (open) listener_.request_handler_.leave(id_);
     if (upload) upload->fail();
 }
 
@@ -177,7 +177,7 @@
         const Time from = had_request_ ? Loop::monotonic() : connected_;
         timer_.set(from + limits().head_time, [self = shared_from_this()] { self->handle_read_timeout(); });
     }
-    if (!arriving) move_to(front_.begun_);  // who keeps sending is the last to be closed for want of room
+    if (!arriving) move_to(listener_.begun_);  // who keeps sending is the last to be closed for want of room
     const bool had_head = parser_->is_header_done();
     const error_code error = feed(*parser_, buffer_);
     if (arriving && error) return abandon_upload();
@@ -201,7 +201,7 @@
     received_ = parser_->get().body().size();
     if (parser_->is_done()) return handle_request(false);
     // A body too long to be held goes on as it comes; the request is taken with what is here.
-    if (received_ > limits().whole_body) return handle_request(true);
+    if (received_ > limits().max_buffered_body_bytes) return handle_request(true);
     if (!had_head) expect_body();
     await_body();
 }
@@ -243,8 +243,8 @@
 void ClientConnection::abandon_upload() {
     const auto self = shared_from_this();
     const auto upload = std::exchange(upload_, nullptr);
-    held_answer_.reset();     // before it can end: the rejection is the one answer
-    front_.desk_.leave(id_);  // before the body breaks off, as in handle_disconnect()
+    held_answer_.reset();                   // before it can end: the rejection is the one answer
+    listener_.request_handler_.leave(id_);  // before the body breaks off, as in handle_disconnect()
     upload->fail();
     reject(http::status::bad_request, false);
 }
@@ -253,20 +253,20 @@
     timer_.cancel();
     had_request_ = true;
     record_.add_request(buffer_.size());
-    move_to(front_.busy_);
+    move_to(listener_.busy_);
     const bool keep = parser_->keep_alive();
     parser_version_ = parser_->get().version();
     const auto length = parser_->content_length();
     auto& head = parser_->get().base();
     if (!framed_clearly(head)) return reject(http::status::bad_request, false);
     head.target(origin_form(head.target()));
-    const auto ready_path = front_.protocol_.ready_path();
+    const auto ready_path = listener_.protocol_.ready_path();
     if (!ready_path.empty() && head.target() == ready_path) return answer_readiness(keep && !arriving);
     const Time now = Loop::monotonic();
-    auto request = front_.protocol_.read(head, now - since_arrival());
-    if (const auto* away = std::get_if<TurnAway>(&request))
+    auto request = listener_.protocol_.read(head, now - since_arrival());
+    if (const auto* away = std::get_if<LocalReply>(&request))
         return reject(away->status, keep && away->keep && !arriving, away->retry_after, away->fields);
-    if (front_.sends_all_away()) return reject(http::status::service_unavailable, false);
+    if (listener_.sends_all_away()) return reject(http::status::service_unavailable, false);
     auto& event = std::get<Request>(request);
     timeout_ = event.deadline - (now - since_arrival());
     if (arriving) {
@@ -287,15 +287,15 @@
     auto reply = [self = shared_from_this(), request = ++request_](Answer&& answer) {
         self->answer(request, std::move(answer));
     };
-    const bool fresh = front_.desk_.take(std::move(event), message, std::move(reply));
+    const bool fresh = listener_.request_handler_.take(std::move(event), message, std::move(reply));
     if (!fresh) return reject(http::status::conflict, keep && !arriving);
     if (stage_ == Stage::Waiting && arriving) await_body();
 }
 
 void ClientConnection::answer_readiness(bool keep) {
     if (parser_->get().method() != http::verb::get) return reject(http::status::method_not_allowed, keep);
-    const auto status = front_.is_ready() ? http::status::ok : http::status::service_unavailable;
-    reject(status, keep && !front_.leaving());
+    const auto status = listener_.is_ready() ? http::status::ok : http::status::service_unavailable;
+    reject(status, keep && !listener_.leaving());
 }
 
 std::shared_ptr<HttpMessage> ClientConnection::take_message(bool arriving) {
@@ -324,11 +324,11 @@
     Time deadline = Loop::monotonic() - since_arrival() + timeout_;
     deadline_ = deadline;
     limit_deadline(deadline);
-    front_.desk_.received(id_, deadline);
+    listener_.request_handler_.received(id_, deadline);
 }
 
 void ClientConnection::limit_deadline(Time& deadline) const {
-    if (front_.draining()) deadline = std::min(deadline, front_.answers_end_);
+    if (listener_.draining()) deadline = std::min(deadline, listener_.answers_end_);
 }
 
 Duration ClientConnection::since_arrival() {
@@ -344,14 +344,14 @@
         if (answer.rest) answer.rest->stop_reading();
         return;
     }
-    if (answer.rest && front_.holds_answers() && deadline_ > front_.answers_end_) {
+    if (answer.rest && listener_.holds_answers() && deadline_ > listener_.answers_end_) {
         return hold(std::move(answer));
     }
     write_answer(std::move(answer));
 }
 
 void ClientConnection::hold(Answer&& answer) {
-    held_answer_ = std::make_unique<HeldAnswer>(std::move(answer), *front_.hold_limit_);
+    held_answer_ = std::make_unique<HeldAnswer>(std::move(answer), *listener_.hold_limit_);
     held_answer_->start([this](HeldAnswer::End end) {
         const auto self = shared_from_this();
         const auto held = std::exchange(held_answer_, nullptr);
@@ -360,8 +360,8 @@
 }
 
 void ClientConnection::withhold(Answer&& answer) {
-    front_.withheld_.add();
-    front_.protocol_.on_withheld(answer, id_, record_);
+    listener_.withheld_.add();
+    listener_.protocol_.on_withheld(answer, id_, record_);
     if (answer.rest) answer.rest->stop_reading();
     Answer failure;
     failure.ticket = std::move(answer.ticket);
@@ -370,9 +370,9 @@
 }
 
 void ClientConnection::write_answer(Answer&& answer) {
-    if (!front_.protocol_.is_answer_to(answer, id_)) return withhold(std::move(answer));
+    if (!listener_.protocol_.is_answer_to(answer, id_)) return withhold(std::move(answer));
     Reply::Head head{http::status::bad_gateway, 11};
-    front_.protocol_.write(answer, id_, head);
+    listener_.protocol_.write(answer, id_, head);
     const auto* endpoint_head = dynamic_cast<const HttpAnswerHead*>(answer.head.get());
     record_.set_answer(head.result_int(), endpoint_head ? endpoint_head->origin : AnswerOrigin{});
     rest_ = std::move(answer.rest);
@@ -406,10 +406,10 @@
 
 void ClientConnection::write(Reply::Head&& head, bool keep) {
     stage_ = Stage::Writing;
-    begun_in_drain_ = front_.draining();
+    begun_in_drain_ = listener_.draining();
     if (upload_) std::exchange(upload_, nullptr)->fail();
     restart_write_timer();
-    const bool goes_on = keep && !front_.lets_go();
+    const bool goes_on = keep && !listener_.lets_go();
     head.keep_alive(goes_on);
     reply_ = std::make_shared<Reply>(std::move(head), body_, rest_);
     reply_->on_progress = [this] { restart_write_timer(); };
@@ -427,7 +427,7 @@
         self->parse();
         // Guards against a full house in which nobody leaves: who waits outside may need this
         // one's place.
-        self->front_.accept();
+        self->listener_.accept();
         self->read();
     });
 }
@@ -444,7 +444,7 @@
 
 void ClientConnection::linger() {
     stage_ = Stage::Lingering;
-    move_to(front_.waiting_);
+    move_to(listener_.waiting_);
     error_code error;
     socket_.shutdown(asio::socket_base::shutdown_send, error);
     buffer_.clear();
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -1,5 +1,6 @@
-// One client's connection of an Http1Front: reads requests, hands them to the desk and writes their answers.
-// Private to the front, which owns its life: each is in one of the front's lists until it is closed.
+// One client's connection of an HttpListener: reads requests, hands them to the request handler and writes
+// their answers. Private to the front, which owns its life: each is in one of the front's lists until it is
+// closed.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -16,9 +17,9 @@
 #include "core/pipe.h"
 #include "core/tally.h"
 #include "http1/connection_record.h"
-#include "http1/front.h"
 #include "http1/held_answer.h"
 #include "http1/http.h"
+#include "http1/listener.h"
 #include "http1/protocol.h"
 
 namespace martenford {
@@ -27,14 +28,14 @@
 /// leaves is seen.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
   public:
-    ClientConnection(Http1Front& front, asio::ip::tcp::socket socket)
-        : front_(front),
+    ClientConnection(HttpListener& front, asio::ip::tcp::socket socket)
+        : listener_(front),
           socket_(std::move(socket)),
           timer_(front.loop_),
           record_(++front.last_connection_),
           buffer_(kMostBuffer),
           incoming_(kMostBuffer) {}
-    void start(Http1Front::Clients::iterator place);
+    void start(HttpListener::Clients::iterator place);
     /// Nothing of it is waiting to be read. Guards against closing a connection under a request that has come
     /// whole and counts as taken.
     bool silent() const;
@@ -62,11 +63,11 @@
         Closed
     };
 
-    const FrontLimits& limits() const { return front_.protocol_.limits(); }
+    const ListenerLimits& limits() const { return listener_.protocol_.limits(); }
     void next_request();
 
     /// To the end of one of the front's lists.
-    void move_to(Http1Front::Clients& to);
+    void move_to(HttpListener::Clients& to);
     void read();
     /// Puts what a read has brought behind what is not parsed yet.
     void take_incoming();
@@ -90,7 +91,7 @@
     /// The request is whole, or (`arriving`) the rest of its body is passed on as it comes.
     void handle_request(bool arriving);
     void answer_readiness(bool keep);
-    /// The request as the desk gets it, without what concerns this connection alone.
+    /// The request as the request handler gets it, without what concerns this connection alone.
     std::shared_ptr<HttpMessage> take_message(bool arriving);
 
     /// The last byte of a body that went on as it came.
@@ -126,7 +127,7 @@
     void linger();
     void linger_on();
 
-    Http1Front& front_;
+    HttpListener& listener_;
     asio::ip::tcp::socket socket_;
     Timer timer_;
     ConnectionRecord record_;
@@ -134,8 +135,8 @@
     /// What the pending read writes to. Parsing consumes buffer_, which would move under a read into it: its
     /// bytes would be counted where those of an earlier request lie.
     boost::beast::flat_buffer incoming_;
-    Http1Front::Clients::iterator position_;
-    Http1Front::Clients* list_ = &front_.waiting_;
+    HttpListener::Clients::iterator position_;
+    HttpListener::Clients* list_ = &listener_.waiting_;
     Stage stage_ = Stage::Reading;
     const Time connected_ = Loop::monotonic();
     Time listed_since_ = connected_;
@@ -143,7 +144,8 @@
     bool begun_in_drain_ = false;  // the answer
     std::optional<Parser<true>> parser_;
     decision::RequestId id_;
-    std::uint64_t request_ = 0;     // number of the present request among those that the desk was handed
+    std::uint64_t request_ =
+        0;  // number of the present request among those that the request handler was handed
     unsigned parser_version_ = 11;  // of HTTP, as its client speaks it
     // A body that goes on as it comes.
     std::shared_ptr<Pipe> upload_;
@@ -152,7 +154,8 @@
     Duration paused_{};  // in which it was not read, since nobody took it
     std::optional<Time> paused_since_;
     Duration timeout_{};  // that its client waits, from the last byte on
-    Time deadline_{};     // until which it waits; in a drain the desk may have been told an earlier one
+    Time deadline_{};  // until which it waits; in a drain the request handler may have been told an earlier
+                       // one
     // The answer.
     std::unique_ptr<HeldAnswer> held_answer_;
     std::string body_;
--- a/src/http1/http.h
+++ b/src/http1/http.h
@@ -115,11 +115,11 @@
 using Parser = http::parser<isRequest, PieceBody>;
 
 template <bool isRequest>
-void renew(std::optional<Parser<isRequest>>& parser, std::size_t most_header = kMostHeader,
-           std::uint64_t most_body = kMostBody) {
+void renew(std::optional<Parser<isRequest>>& parser, std::size_t max_header_bytes = kMostHeader,
+           std::uint64_t max_body_bytes = kMostBody) {
     parser.emplace();
-    parser->header_limit(static_cast<std::uint32_t>(most_header));
-    parser->body_limit(most_body);
+    parser->header_limit(static_cast<std::uint32_t>(max_header_bytes));
+    parser->body_limit(max_body_bytes);
 }
 
 /// Moves what the buffer holds into the parser, up to the message's end. No error where more must come.
--- a/src/http1/front.cpp
+++ b/src/http1/listener.cpp
@@ -1,4 +1,4 @@
-#include "http1/front.h"
+#include "http1/listener.h"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -20,15 +20,15 @@
 constexpr Duration kAcceptAgain = 20ms;  // after running out of descriptors
 constexpr Duration kSentAway = 300ms;    // after an evacuation began, by when no front sends anybody new
 constexpr Duration kLetGo = 1s;          // and by when idle connections are closed
-constexpr Duration kGiveUpAfter = 20ms;  // the desk's own deadline, at the same time, says more
+constexpr Duration kGiveUpAfter = 20ms;  // the request handler's own deadline, at the same time, says more
 constexpr Duration kNoMore = 1800ms;  // from when on requests are refused: none of the last 2 s may be held
 
 }  // namespace
 
-Http1Front::Http1Front(Loop& loop, Desk& desk, ServerProtocol& protocol, std::size_t most,
-                       std::function<bool()> ready, Counters& counters)
+HttpListener::HttpListener(Loop& loop, RequestHandler& request_handler, ServerProtocol& protocol,
+                           std::size_t most, std::function<bool()> ready, Counters& counters)
     : loop_(loop),
-      desk_(desk),
+      request_handler_(request_handler),
       protocol_(protocol),
       most_(most),
       ready_(std::move(ready)),
@@ -43,9 +43,9 @@
       early_(counters.counter("clients.early", "reads that brought bytes while a request was open")) {
     counters.gauge("clients.open", "connections of clients", [this] { return static_cast<double>(held()); });
 }
-Http1Front::~Http1Front() = default;
+HttpListener::~HttpListener() = default;
 
-void Http1Front::listen(const Address& address) {
+void HttpListener::listen(const Address& address) {
     acceptor_.open(address.protocol());
     acceptor_.set_option(asio::socket_base::reuse_address(true));  // a restart takes over its address at once
     // Its successor may listen beside it.
@@ -56,13 +56,13 @@
     accept();
 }
 
-void Http1Front::adopt(int descriptor) {
+void HttpListener::adopt(int descriptor) {
     acceptor_.assign(asio::ip::tcp::v4(), descriptor);
     acceptor_.non_blocking(true);
     accept();
 }
 
-void Http1Front::accept() {
+void HttpListener::accept() {
     if (accepting_ || !acceptor_.is_open()) return;
     if (full()) {
         make_room();  // goes on when one closes
@@ -78,7 +78,7 @@
     });
 }
 
-void Http1Front::accepted(const error_code& error, asio::ip::tcp::socket socket) {
+void HttpListener::accepted(const error_code& error, asio::ip::tcp::socket socket) {
     // Also where the listener has been given up since: this one had been accepted before.
     if (!error) {
         error_code ignored;
@@ -100,7 +100,7 @@
 /// Closes the connection that has gone longest without a whole request: one that is between requests, says
 /// nothing, or sends its request too slowly. Guards against a house full of such clients that keeps out those
 /// who want something.
-bool Http1Front::make_room() {
+bool HttpListener::make_room() {
     const auto quiet = first_silent(waiting_), half = first_silent(begun_);
     const Time settled = Loop::monotonic() - kSettled;
     // One that has only just connected is about to say something, more likely than one that stopped half way.
@@ -114,7 +114,7 @@
     return true;
 }
 
-std::shared_ptr<ClientConnection> Http1Front::first_silent(Clients& among) {
+std::shared_ptr<ClientConnection> HttpListener::first_silent(Clients& among) {
     for (int looks = 0; looks < kMostLooks && !among.empty(); ++looks) {
         if (auto client = among.front().lock(); client && client->silent()) return client;
         among.splice(among.end(), among, among.begin());  // its turn to be read comes first
@@ -122,20 +122,20 @@
     return nullptr;
 }
 
-void Http1Front::hold_at_most(std::size_t most) {
+void HttpListener::hold_at_most(std::size_t most) {
     most_ = most;
     while (held() > most_ && make_room()) {
     }
     accept();
 }
 
-void Http1Front::closed(Clients& among, Clients::iterator place) {
+void HttpListener::closed(Clients& among, Clients::iterator place) {
     among.erase(place);
     if (closing_ && empty()) return ended();
     accept();
 }
 
-void Http1Front::drain(std::function<void()> done, bool replaced) {
+void HttpListener::drain(std::function<void()> done, bool replaced) {
     if (drained_) return;
     drained_ = std::move(done);
     replaced_ = replaced;
@@ -150,13 +150,13 @@
     quiet_.set(Loop::monotonic() + times.last_call, [this] { stop_accepting(); });
 }
 
-void Http1Front::give_up() {
+void HttpListener::give_up() {
     for (const auto& entry : Clients(busy_)) {
         if (const auto client = entry.lock()) client->give_up();
     }
 }
 
-void Http1Front::stop_accepting() {
+void HttpListener::stop_accepting() {
     // What the kernel has accepted by now is taken over first; the loop has run all that was ready.
     // Taken out of the loop before it is closed: where another process holds the listener too, a close alone
     // would leave it registered here.
@@ -169,7 +169,7 @@
                [this] { stop_serving(); });
 }
 
-void Http1Front::stop_serving() {
+void HttpListener::stop_serving() {
     closing_ = true;
     close_idle();
     if (empty()) ended();
@@ -177,17 +177,17 @@
 
 /// Tells once that nothing is left. Guards against a process with two fronts that takes one's end told twice
 /// for both ends.
-void Http1Front::ended() {
+void HttpListener::ended() {
     if (!std::exchange(ended_, true)) drained_();
 }
 
-void Http1Front::close_idle() {
+void HttpListener::close_idle() {
     for (const auto& entry : Clients(waiting_)) {
         if (const auto client = entry.lock(); client && client->idle()) client->close();
     }
 }
 
-ClientBacklog Http1Front::backlog() const {
+ClientBacklog HttpListener::backlog() const {
     ClientBacklog backlog;
     backlog.requests = busy_.size();
     for (const Clients* clients : {&waiting_, &begun_, &busy_}) {
@@ -201,22 +201,22 @@
     return backlog;
 }
 
-void Http1Front::evacuate() {
+void HttpListener::evacuate() {
     if (evacuated_ || draining()) return;
     evacuated_ = Loop::monotonic();
     letting_go_.set(*evacuated_ + kLetGo, [this] { close_idle(); });
 }
 
-void Http1Front::activate() {
+void HttpListener::activate() {
     evacuated_.reset();
     letting_go_.cancel();
 }
 
-bool Http1Front::lets_go() const {
+bool HttpListener::lets_go() const {
     return closing_ || replaced_ || (evacuated_ && Loop::monotonic() >= *evacuated_ + kSentAway);
 }
 
-bool Http1Front::sends_all_away() const {
+bool HttpListener::sends_all_away() const {
     return evacuated_ && !draining() && Loop::monotonic() >= *evacuated_ + kNoMore;
 }
 
--- a/src/http1/front.h
+++ b/src/http1/listener.h
@@ -1,4 +1,4 @@
-// The listener and the clients' connections: request to event, the one final answer, /-/ready.
+// The HTTP listener and its clients' connections: request to event, the one final answer, /-/ready.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -27,13 +27,13 @@
     std::uint64_t unsent_bytes = 0;   ///< written, and not acknowledged by the client's kernel
 };
 
-class Http1Front {
+class HttpListener {
   public:
     /// Holds this many connections at most. Throws boost::system::system_error where it can't listen.
-    /// `desk` and `protocol` outlive it.
-    Http1Front(Loop& loop, Desk& desk, ServerProtocol& protocol, std::size_t most,
-               std::function<bool()> ready, Counters& counters);
-    ~Http1Front();
+    /// `request_handler` and `protocol` outlive it.
+    HttpListener(Loop& loop, RequestHandler& request_handler, ServerProtocol& protocol, std::size_t most,
+                 std::function<bool()> ready, Counters& counters);
+    ~HttpListener();
 
     /// Listens, beside others that share the address with SO_REUSEPORT. Throws boost::system::system_error
     /// where it can't.
@@ -100,7 +100,7 @@
     bool empty() const { return held() == 0; }
 
     Loop& loop_;
-    Desk& desk_;
+    RequestHandler& request_handler_;
     ServerProtocol& protocol_;
     std::size_t most_;
     std::function<bool()> ready_;
--- a/src/http1/protocol.cpp
+++ b/src/http1/protocol.cpp
@@ -47,25 +47,25 @@
 }
 
 /// The event that a message stands for, or the status that turns it away.
-std::variant<Request, TurnAway> SidecarServerProtocol::read(Fields& message, Time arrived) {
+std::variant<Request, LocalReply> SidecarServerProtocol::read(Fields& message, Time arrived) {
     const Settings& settings = settings_;
     const auto id = message["X-Request-ID"], name = message["X-Priority-Class"];
-    if (id.empty() || id.size() > kMostId || name.empty()) return TurnAway{http::status::bad_request};
+    if (id.empty() || id.size() > kMostId || name.empty()) return LocalReply{http::status::bad_request};
     std::string_view path(message.target().data(), message.target().size());
     path = path.substr(0, path.find('?'));
-    if (path.empty() || path.front() != '/') return TurnAway{http::status::bad_request};
+    if (path.empty() || path.front() != '/') return LocalReply{http::status::bad_request};
     path.remove_prefix(1);
     const auto known = std::find_if(settings.classes.begin(), settings.classes.end(),
                                     [&](const RequestClass& c) { return name == c.name; });
     if (known == settings.classes.end() || path.substr(0, path.find('/')) != known->name) {
-        return TurnAway{http::status::not_found};
+        return LocalReply{http::status::not_found};
     }
     const auto method = known->effect == Effect::Free ? http::verb::get : http::verb::post;
-    if (message.method() != method) return TurnAway{http::status::method_not_allowed};
+    if (message.method() != method) return LocalReply{http::status::method_not_allowed};
     if (known->effect == Effect::Guarded && message["Idempotency-Key"].empty())
-        return TurnAway{http::status::bad_request};
+        return LocalReply{http::status::bad_request};
     const auto timeout = whole_number(message["X-Timeout-Ms"]);
-    if (!timeout || *timeout < 1 || *timeout > kMostTimeoutMs) return TurnAway{http::status::bad_request};
+    if (!timeout || *timeout < 1 || *timeout > kMostTimeoutMs) return LocalReply{http::status::bad_request};
 
     Request request;
     request.id = std::string(id);
@@ -76,7 +76,7 @@
     if (!settings.tenants.empty()) {
         const auto tenant = std::find_if(settings.tenants.begin(), settings.tenants.end(),
                                          [&](const Tenant& t) { return message["X-Tenant-Id"] == t.name; });
-        if (tenant == settings.tenants.end()) return TurnAway{http::status::bad_request};
+        if (tenant == settings.tenants.end()) return LocalReply{http::status::bad_request};
         request.tenant = static_cast<std::uint32_t>(tenant - settings.tenants.begin());
     }
     if (const auto slash = path.rfind('/'); slash != std::string_view::npos) {
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -27,13 +27,14 @@
 };
 
 /// What callers may send and how long they may take. Bytes, and times by the steady clock.
-struct FrontLimits {
+struct ListenerLimits {
     Duration head_time = 2600ms;  ///< a head must be whole in this time from its first byte, the first on a
                                   ///< connection from the connect
     Duration idle_time = 15s;     ///< a connection between requests is kept for this long
-    std::size_t most_header = kMostHeader;
-    std::uint64_t most_body = kMostBody;
-    std::size_t whole_body = kWholeBody;  ///< up to here a body is held whole; longer ones go on as they come
+    std::size_t max_header_bytes = kMostHeader;
+    std::uint64_t max_body_bytes = kMostBody;
+    std::size_t max_buffered_body_bytes =
+        kWholeBody;  ///< up to here a body is held whole; longer ones go on as they come
 };
 
 /// What is done after SIGTERM, counted from it.
@@ -48,8 +49,8 @@
     std::size_t max_held_bytes = 0;
 };
 
-/// An answer without the desk.
-struct TurnAway {
+/// An answer without the request handler.
+struct LocalReply {
     http::status status = http::status::bad_request;
     bool keep = true;  ///< the connection, where its client wants that
     Duration retry_after{};
@@ -60,13 +61,13 @@
   public:
     using Fields = http::request_header<>;
     virtual ~ServerProtocol() = default;
-    virtual const FrontLimits& limits() const = 0;
+    virtual const ListenerLimits& limits() const = 0;
     virtual DrainTimes drain_times() const = 0;
     /// Where callers ask whether the process is ready; empty: not on this port.
     virtual std::string_view ready_path() const { return {}; }
     /// The event that a request stands for, or what turns it away. `arrived` is when its last byte came.
     /// Fields may be added and taken off.
-    virtual std::variant<decision::Request, TurnAway> read(Fields& head, Time arrived) = 0;
+    virtual std::variant<decision::Request, LocalReply> read(Fields& head, Time arrived) = 0;
     /// The status and the fields of the answer to request `id`; its length and its connection are the
     /// front's.
     virtual void write(const Answer& answer, const decision::RequestId& id,
@@ -126,15 +127,15 @@
 class SidecarServerProtocol : public ServerProtocol {
   public:
     explicit SidecarServerProtocol(const decision::Settings& settings) : settings_(settings) {}
-    const FrontLimits& limits() const override { return limits_; }
+    const ListenerLimits& limits() const override { return limits_; }
     DrainTimes drain_times() const override;
     std::string_view ready_path() const override { return "/-/ready"; }
-    std::variant<decision::Request, TurnAway> read(Fields& head, Time arrived) override;
+    std::variant<decision::Request, LocalReply> read(Fields& head, Time arrived) override;
     void write(const Answer& answer, const decision::RequestId& id, http::response_header<>& head) override;
 
   private:
     const decision::Settings& settings_;
-    FrontLimits limits_;
+    ListenerLimits limits_;
 };
 
 class SidecarClientProtocol : public ClientProtocol {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -30,7 +30,7 @@
 #include "handover/handover.h"
 #include "helper/helper.h"
 #include "http1/back.h"
-#include "http1/front.h"
+#include "http1/listener.h"
 #include "http1/protocol.h"
 #include "ledger/recorder.h"
 #include "ledger/writer_link.h"
@@ -329,7 +329,7 @@
     std::unique_ptr<peers::Peers> peers_;
     std::unique_ptr<replica::Keeper> keeper_;
     Discovery discovery_;
-    Http1Front front_;
+    HttpListener front_;
     std::optional<Console> console_;
     std::optional<Handover> handover_;
     Timer late_, again_{loop_};
--- a/src/proxy/inbound_protocol.cpp
+++ b/src/proxy/inbound_protocol.cpp
@@ -41,8 +41,8 @@
                                      RoutesInForce routes)
     : settings_(settings), admission_(admission), incarnation_(incarnation), routes_(std::move(routes)) {
     limits_.idle_time = kHopIdleTimeout;
-    limits_.most_header = kMaxHopHeaderBytes;
-    limits_.most_body = kMaxHopBodyBytes;
+    limits_.max_header_bytes = kMaxHopHeaderBytes;
+    limits_.max_body_bytes = kMaxHopBodyBytes;
 }
 
 DrainTimes HopServerProtocol::drain_times() const {
@@ -55,9 +55,9 @@
     return std::to_string(std::max<std::int64_t>(1, wait_ms));
 }
 
-TurnAway HopServerProtocol::answer_delivery_query(const HopHeader& hop,
-                                                  const admission::InboundRequest& inbound) {
-    TurnAway answer{http::status::service_unavailable, true, {}, {{kAttemptId, inbound.attempt_id}}};
+LocalReply HopServerProtocol::answer_delivery_query(const HopHeader& hop,
+                                                    const admission::InboundRequest& inbound) {
+    LocalReply answer{http::status::service_unavailable, true, {}, {{kAttemptId, inbound.attempt_id}}};
     // Another incarnation ran here when the hop was sent: what it delivered is not known.
     const bool same_process = hop.incarnation == incarnation_;
     if (same_process &&
@@ -69,13 +69,13 @@
     return answer;
 }
 
-std::variant<Request, TurnAway> HopServerProtocol::read(Fields& head, Time arrived) {
+std::variant<Request, LocalReply> HopServerProtocol::read(Fields& head, Time arrived) {
     const auto hop = decode_hop_header(view_of(head[kHopField]));
     const auto id = head[kAttemptId];
     const auto time_ms = whole_number(head[kTimeRemaining]);
     if (!hop || id.empty() || id.size() > kMaxAttemptIdBytes || !time_ms || *time_ms < 1 ||
         *time_ms > kMaxTimeRemainingMs)
-        return TurnAway{http::status::bad_request};
+        return LocalReply{http::status::bad_request};
     admission::InboundRequest inbound;
     inbound.instance_id = hop->instance_id;
     inbound.may_queue = hop->mode == HopMode::Queue;
@@ -87,12 +87,12 @@
         std::chrono::milliseconds(std::clamp<std::int64_t>(hop->time.count(), 0, kMaxTimeRemainingMs));
     if (hop->mode == HopMode::DeliveryQuery) return answer_delivery_query(*hop, inbound);
     if (is_outdated(head, inbound, hop->version)) {
-        return TurnAway{http::status::service_unavailable,
-                        true,
-                        {},
-                        {{kAttemptId, inbound.attempt_id},
-                         {kHopRejectedField, queue_wait_text()},
-                         {kHopConfigVersionField, std::to_string(routes_()->version())}}};
+        return LocalReply{http::status::service_unavailable,
+                          true,
+                          {},
+                          {{kAttemptId, inbound.attempt_id},
+                           {kHopRejectedField, queue_wait_text()},
+                           {kHopConfigVersionField, std::to_string(routes_()->version())}}};
     }
     head.erase(kHopField);
     Request request;
--- a/src/proxy/inbound_protocol.h
+++ b/src/proxy/inbound_protocol.h
@@ -25,19 +25,19 @@
     HopServerProtocol(const bootstrap::Settings& settings, admission::AdmissionController& admission,
                       std::uint64_t incarnation, RoutesInForce routes);
 
-    [[nodiscard]] const FrontLimits& limits() const override { return limits_; }
+    [[nodiscard]] const ListenerLimits& limits() const override { return limits_; }
     [[nodiscard]] DrainTimes drain_times() const override;
     /// Answers a delivery query and a request of an outdated configuration at once; hands the rest to the
     /// admission controller.
-    [[nodiscard]] std::variant<decision::Request, TurnAway> read(Fields& head, Time arrived) override;
+    [[nodiscard]] std::variant<decision::Request, LocalReply> read(Fields& head, Time arrived) override;
     void write(const Answer& answer, const decision::RequestId& id, http::response_header<>& head) override;
     [[nodiscard]] bool is_answer_to(const Answer& answer, const decision::RequestId& id) const override;
     void on_withheld(const Answer& answer, const decision::RequestId& id,
                      const ConnectionRecord& record) override;
 
   private:
-    [[nodiscard]] TurnAway answer_delivery_query(const HopHeader& hop,
-                                                 const admission::InboundRequest& inbound);
+    [[nodiscard]] LocalReply answer_delivery_query(const HopHeader& hop,
+                                                   const admission::InboundRequest& inbound);
     /// Returns true if a newer configuration than the caller's sends this request elsewhere, treats it
     /// otherwise, or does not allow it.
     [[nodiscard]] bool is_outdated(const Fields& head, const admission::InboundRequest& inbound,
@@ -49,7 +49,7 @@
     admission::AdmissionController& admission_;
     const std::uint64_t incarnation_;
     const RoutesInForce routes_;
-    FrontLimits limits_;
+    ListenerLimits limits_;
     std::uint64_t last_hop_ = 0;
 };
 
--- a/src/proxy/outbound_protocol.cpp
+++ b/src/proxy/outbound_protocol.cpp
@@ -41,9 +41,9 @@
     const auto& configured = routes_->limits();
     limits_.head_time = std::chrono::milliseconds(configured.header_timeout_ms);
     limits_.idle_time = std::chrono::milliseconds(configured.idle_timeout_ms);
-    limits_.most_header = static_cast<std::size_t>(
+    limits_.max_header_bytes = static_cast<std::size_t>(
         std::clamp<std::int64_t>(configured.max_header_bytes, kMinHeaderBytes, kMaxHeaderBytes));
-    limits_.most_body = static_cast<std::uint64_t>(configured.max_body_bytes);
+    limits_.max_body_bytes = static_cast<std::uint64_t>(configured.max_body_bytes);
     bool replanned = false;
     for (WaitingRequest& waiting : std::exchange(waiting_, {})) {
         if (routes_->version() < waiting.newer) {
@@ -63,13 +63,13 @@
     return {end * 45 / 100, 100ms, end, end / 2, kMaxHeldAnswerBytes};
 }
 
-std::variant<const mesh_config::Tenant*, TurnAway> OutboundServerProtocol::authenticate(
+std::variant<const mesh_config::Tenant*, LocalReply> OutboundServerProtocol::authenticate(
     const Fields& head, const mesh_config::Route& route) {
     if (!routes_->has_tenants() || route.keyless) return nullptr;
     const auto* tenant = routes_->tenant_by_key(view_of(head[kApiKey]));
     if (tenant) return tenant;
     ++totals_.no_key;
-    return TurnAway{http::status::unauthorized};
+    return LocalReply{http::status::unauthorized};
 }
 
 bool OutboundServerProtocol::within_quota(const mesh_config::Tenant& tenant) {
@@ -79,29 +79,29 @@
     return admitted;
 }
 
-std::variant<Request, TurnAway> OutboundServerProtocol::read(Fields& head, Time arrived) {
+std::variant<Request, LocalReply> OutboundServerProtocol::read(Fields& head, Time arrived) {
     const auto id = head[kAttemptId];
-    if (id.empty() || id.size() > kMaxAttemptIdBytes) return TurnAway{http::status::bad_request};
+    if (id.empty() || id.size() > kMaxAttemptIdBytes) return LocalReply{http::status::bad_request};
     ++totals_.taken;
     if (!routes_) {
         ++totals_.unready;
-        return TurnAway{http::status::service_unavailable, true, kDefaultRetryAfter};
+        return LocalReply{http::status::service_unavailable, true, kDefaultRetryAfter};
     }
     const auto* route = routes_->route(view_of(head[http::field::host]), view_of(head.target()));
     if (!route) {
         ++totals_.no_route;
-        return TurnAway{http::status::not_found};
+        return LocalReply{http::status::not_found};
     }
     const auto authenticated = authenticate(head, *route);
-    if (const auto* rejection = std::get_if<TurnAway>(&authenticated)) return *rejection;
+    if (const auto* rejection = std::get_if<LocalReply>(&authenticated)) return *rejection;
     const auto* tenant = std::get<const mesh_config::Tenant*>(authenticated);
     if (tenant && !within_quota(*tenant)) {
         const Duration wait = quota_.time_until_next(Loop::monotonic(), tenant->name);
-        return TurnAway{http::status::too_many_requests, true, std::max(kDefaultRetryAfter, wait)};
+        return LocalReply{http::status::too_many_requests, true, std::max(kDefaultRetryAfter, wait)};
     }
     const auto time_remaining = whole_number(head[kTimeRemaining]);
     if (!head[kTimeRemaining].empty() && !is_valid_time_remaining(time_remaining))
-        return TurnAway{http::status::bad_request};
+        return LocalReply{http::status::bad_request};
     const std::int64_t time_ms = std::min(time_remaining.value_or(route->timeout_ms), route->timeout_ms);
     head.erase(kApiKey);
     head.erase(kTenantName);
--- a/src/proxy/outbound_protocol.h
+++ b/src/proxy/outbound_protocol.h
@@ -55,10 +55,10 @@
     /// The routes in force; null until the first configuration has come.
     [[nodiscard]] const mesh_config::RouteTable* routes() const { return routes_.get(); }
 
-    [[nodiscard]] const FrontLimits& limits() const override { return limits_; }
+    [[nodiscard]] const ListenerLimits& limits() const override { return limits_; }
     [[nodiscard]] DrainTimes drain_times() const override;
     /// Checks the request, finds route, tenant and quota, and hands the plan to the policy.
-    [[nodiscard]] std::variant<decision::Request, TurnAway> read(Fields& head, Time arrived) override;
+    [[nodiscard]] std::variant<decision::Request, LocalReply> read(Fields& head, Time arrived) override;
     void write(const Answer& answer, const decision::RequestId& id, http::response_header<>& head) override;
     [[nodiscard]] bool is_answer_to(const Answer& answer, const decision::RequestId& id) const override;
     void on_withheld(const Answer& answer, const decision::RequestId& id,
@@ -71,7 +71,7 @@
         std::string id, host, target, tenant;
     };
     /// The tenant whose key the request bears; null where the route needs none.
-    [[nodiscard]] std::variant<const mesh_config::Tenant*, TurnAway> authenticate(
+    [[nodiscard]] std::variant<const mesh_config::Tenant*, LocalReply> authenticate(
         const Fields& head, const mesh_config::Route& route);
     [[nodiscard]] bool within_quota(const mesh_config::Tenant& tenant);
     [[nodiscard]] outbound::RequestPlan plan_for(const mesh_config::Route& route, const std::string& id,
@@ -83,7 +83,7 @@
     quota::QuotaLimiter& quota_;
     RequestTotals& totals_;
     std::function<std::size_t()> proxy_count_;
-    FrontLimits limits_;
+    ListenerLimits limits_;
     std::shared_ptr<const mesh_config::RouteTable> routes_;
     std::vector<WaitingRequest> waiting_;
     std::function<void()> on_replanned_;
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -17,7 +17,7 @@
 #include "core/loop.h"
 #include "core/tally.h"
 #include "http1/back.h"
-#include "http1/front.h"
+#include "http1/listener.h"
 #include "mesh_config/mesh_config.h"
 #include "outbound/outbound_policy.h"
 #include "proxy/inbound_protocol.h"
@@ -78,7 +78,7 @@
     Tally tally_;
     Http1Back connections_;
     Engine engine_;
-    Http1Front listener_;
+    HttpListener listener_;
     UpstreamUpdates upstream_updates_;
 };
 
@@ -116,7 +116,7 @@
     Tally tally_;
     Http1Back connections_;
     Engine engine_;
-    Http1Front listener_;
+    HttpListener listener_;
 };
 
 }  // namespace martenford::proxy
--- a/tests/mesh/connection_record_test.cpp
+++ b/tests/mesh/connection_record_test.cpp
@@ -1,5 +1,5 @@
 // What a listener records of its connections, and that it writes one answer to one request: a listener with a
-// protocol of the test's own, and a desk that the test answers for.
+// protocol of the test's own, and a request handler that the test answers for.
 #include "http1/connection_record.h"
 
 #include <doctest/doctest.h>
@@ -12,7 +12,7 @@
 
 #include "core/address.h"
 #include "core/loop.h"
-#include "http1/front.h"
+#include "http1/listener.h"
 #include "http1/protocol.h"
 
 using namespace martenford;
@@ -24,9 +24,9 @@
 /// Requests are named by Attempt-Id, and so are answers.
 class NamingProtocol : public ServerProtocol {
   public:
-    [[nodiscard]] const FrontLimits& limits() const override { return limits_; }
+    [[nodiscard]] const ListenerLimits& limits() const override { return limits_; }
     [[nodiscard]] DrainTimes drain_times() const override { return {100ms, 100ms, 400ms, 100ms, 1'000'000}; }
-    std::variant<decision::Request, TurnAway> read(Fields& head, Time arrived) override {
+    std::variant<decision::Request, LocalReply> read(Fields& head, Time arrived) override {
         decision::Request request;
         request.id = std::string(head["Attempt-Id"]);
         request.deadline = arrived + 5s;
@@ -45,10 +45,10 @@
     std::vector<std::string> records;  // of the connections whose answer was withheld
 
   private:
-    FrontLimits limits_;
+    ListenerLimits limits_;
 };
 
-struct Listener : Desk {
+struct Listener : RequestHandler {
     Listener() {
         front.listen(*parse_address("127.0.0.1:0"));
         client.connect(front.listens_at());
@@ -96,7 +96,7 @@
     NamingProtocol protocol;
     std::vector<Reply> replies;
     std::function<void()> on_leave;
-    Http1Front front{loop, *this, protocol, 16, [] { return true; }, counters};
+    HttpListener front{loop, *this, protocol, 16, [] { return true; }, counters};
     asio::ip::tcp::socket client{loop.io()};
 };
 
--- a/tests/mesh/front_test.cpp
+++ b/tests/mesh/front_test.cpp
@@ -1,23 +1,22 @@
-// Draining of Http1Front: it calls back once, and not before all accepted requests are answered. With a bound
-// for held answers it begins none that could break off at the process's end.
-#include "http1/front.h"
-
+// Draining of HttpListener: it calls back once, and not before all accepted requests are answered. With a
+// bound for held answers it begins none that could break off at the process's end.
 #include <doctest/doctest.h>
 
 #include <array>
 #include <boost/asio/write.hpp>
 
 #include "http1/held_answer.h"
+#include "http1/listener.h"
 #include "http1/protocol.h"
 
 using namespace martenford;
 
 namespace {
 
-struct Fixture : ServerProtocol, Desk {
-    const FrontLimits& limits() const override { return limits_; }
+struct Fixture : ServerProtocol, RequestHandler {
+    const ListenerLimits& limits() const override { return limits_; }
     DrainTimes drain_times() const override { return times; }
-    std::variant<decision::Request, TurnAway> read(Fields&, Time arrived) override {
+    std::variant<decision::Request, LocalReply> read(Fields&, Time arrived) override {
         decision::Request request;
         request.id = "1";
         request.deadline = arrived + time_left;
@@ -45,7 +44,7 @@
 
     Loop loop;
     Counters counters;
-    FrontLimits limits_;
+    ListenerLimits limits_;
     Reply pending_reply;
     DrainTimes times{1ms, 1ms, 2ms, 1ms};
     Duration time_left{10s};
@@ -90,7 +89,7 @@
         client.close(ignored);
     }
 
-    Http1Front front{loop, *this, *this, 16, [] { return true; }, counters};
+    HttpListener front{loop, *this, *this, 16, [] { return true; }, counters};
     asio::ip::tcp::socket client{loop.io()};
     std::shared_ptr<Pipe> rest = std::make_shared<Pipe>(1000);
     std::array<char, 512> chunk{};
@@ -102,7 +101,7 @@
 
 TEST_CASE("a drained front calls back once, after its last response was sent") {
     Fixture fixture;
-    Http1Front front(
+    HttpListener front(
         fixture.loop, fixture, fixture, 16, [] { return true; }, fixture.counters);
     front.listen(*parse_address("127.0.0.1:0"));
     asio::ip::tcp::socket idle(fixture.loop.io()), busy(fixture.loop.io());
@@ -126,7 +125,7 @@
 
 TEST_CASE("a drained front with only idle connections calls back once") {
     Fixture fixture;
-    Http1Front front(
+    HttpListener front(
         fixture.loop, fixture, fixture, 16, [] { return true; }, fixture.counters);
     front.listen(*parse_address("127.0.0.1:0"));
     asio::ip::tcp::socket idle(fixture.loop.io());
@@ -175,7 +174,8 @@
 }
 
 TEST_CASE(
-    "end of the drain: a request that has no answer at all is given up with 502, and its desk is told") {
+    "end of the drain: a request that has no answer at all is given up with 502, and its request handler is "
+    "told") {
     HoldFixture fixture(30ms, 1000);
     fixture.begin();
     fixture.wait_for_end();
--- a/tests/mesh/hop_world.h
+++ b/tests/mesh/hop_world.h
@@ -9,7 +9,7 @@
 #include "core/tally.h"
 #include "hop_doubles.h"
 #include "http1/back.h"
-#include "http1/front.h"
+#include "http1/listener.h"
 #include "proxy/inbound_protocol.h"
 #include "proxy/outbound_protocol.h"
 
@@ -70,7 +70,7 @@
     Tally tally;
     Http1Back to_endpoint;
     Engine engine;
-    Http1Front front;
+    HttpListener front;
     std::unique_ptr<FaultyRelay> relay;
 };
 
@@ -245,7 +245,7 @@
     int active_clients_ = 0;
 
   public:
-    Http1Front front;
+    HttpListener front;
     std::vector<std::unique_ptr<InboundProxy>> inbound_proxies;
 };
 
--- a/tests/mesh/late_answer_test.cpp
+++ b/tests/mesh/late_answer_test.cpp
@@ -42,7 +42,7 @@
 }
 
 /// Passes requests on to nobody; the test answers them.
-struct ListenerFixture : Desk {
+struct ListenerFixture : RequestHandler {
     ListenerFixture() { front.listen(*parse_address("127.0.0.1:0")); }
     bool take(decision::Request request, std::shared_ptr<const Message>, Reply reply) override {
         taken.push_back(request.id);
@@ -92,7 +92,7 @@
     Counters counters;
     std::vector<std::string> taken;  // ids of the requests, in order
     std::vector<Reply> replies;      // of the same
-    Http1Front front{world.loop(), *this, world.server_protocol(), 16, [] { return true; }, counters};
+    HttpListener front{world.loop(), *this, world.server_protocol(), 16, [] { return true; }, counters};
     tcp::socket client{world.loop().io()};
 };
 
--- a/tests/mesh/rig/standins.cpp
+++ b/tests/mesh/rig/standins.cpp
@@ -131,8 +131,8 @@
     return heartbeat_text(address_, service, state, ++call_seq_);
 }
 
-std::variant<decision::Request, TurnAway> Endpoint::read(Fields& head, Time arrived) {
-    if (head["Expected-Instance"] != id_) return TurnAway{http::status::misdirected_request};
+std::variant<decision::Request, LocalReply> Endpoint::read(Fields& head, Time arrived) {
+    if (head["Expected-Instance"] != id_) return LocalReply{http::status::misdirected_request};
     decision::Request request;
     request.id = std::to_string(++last_request_);  // not the Attempt-Id, which may come more than once
     request.deadline = arrived + 5s;
--- a/tests/mesh/rig/standins.h
+++ b/tests/mesh/rig/standins.h
@@ -12,7 +12,7 @@
 
 #include "core/address.h"
 #include "core/loop.h"
-#include "http1/front.h"
+#include "http1/listener.h"
 #include "http1/protocol.h"
 
 namespace martenford::rig {
@@ -81,7 +81,7 @@
 
 /// An application endpoint: answers each request once, with its instance id in
 /// Server-Seal.
-class Endpoint : private ServerProtocol, private Desk {
+class Endpoint : private ServerProtocol, private RequestHandler {
   public:
     struct ReceivedRequest {
         std::string id, path, body, caller_service, tenant,
@@ -113,9 +113,9 @@
     std::string heartbeat_body(const std::string& service, const std::string& state);
 
   private:
-    const FrontLimits& limits() const override { return limits_; }
+    const ListenerLimits& limits() const override { return limits_; }
     DrainTimes drain_times() const override { return {}; }
-    std::variant<decision::Request, TurnAway> read(Fields& head, Time arrived) override;
+    std::variant<decision::Request, LocalReply> read(Fields& head, Time arrived) override;
     bool take(decision::Request request, std::shared_ptr<const Message> message, Reply reply) override;
     void received(const decision::RequestId&, Time) override {}
     void leave(const decision::RequestId& id) override { pending_.erase(id); }
@@ -140,13 +140,13 @@
     Loop& loop_;
     const std::string id_, address_;
     Handler handler_;
-    FrontLimits limits_;
+    ListenerLimits limits_;
     int call_seq_ = 0;
     std::uint64_t last_request_ = 0;
     std::map<decision::RequestId, ReceivedRequest> received_;
     std::map<decision::RequestId, PendingResponse> pending_;
     std::list<Stream> streams_;
-    Http1Front front_;
+    HttpListener front_;
 };
 
 }  // namespace martenford::rig
