Mend the test rig: an endpoint stand-in that goes breaks off its answers

Cause: the stand-in dropped the sender of a body without a word to its pipe, so that the connection waited for the rest of it for ever and held itself. Class: a stream's writer that goes must say how it ends (Pipe::fail()). The programs' own writers do; no code of theirs changes. Change: ~Endpoint() fails the pipes of its answers.

--- a/tests/mesh/rig/standins.cpp
+++ b/tests/mesh/rig/standins.cpp
@@ -120,6 +120,11 @@
     front_.listen(*parse_address(address));
 }
 
+Endpoint::~Endpoint() {
+    // A connection that waits for the rest of a body holds itself until it is told that none will come.
+    for (const Stream& stream : streams_) stream.pipe->fail();
+}
+
 std::string heartbeat_text(const std::string& address, const std::string& service, const std::string& state,
                            int call_seq) {
     return R"({"address":")" + address + R"(","node_info":{"service":")" + service +
--- a/tests/mesh/rig/standins.h
+++ b/tests/mesh/rig/standins.h
@@ -102,6 +102,10 @@
     /// Listens at `address`, "ip:port".
     Endpoint(Loop& loop, const std::string& id, const std::string& address, Handler handler,
              Counters& counters);
+    /// Answers that are being sent break off.
+    ~Endpoint();
+    Endpoint(const Endpoint&) = delete;
+    Endpoint& operator=(const Endpoint&) = delete;
     [[nodiscard]] const std::string& id() const { return id_; }
     [[nodiscard]] const std::string& address() const { return address_; }
     /// Stops listening. The object must stay until the loop has finished the
