Mend: a fleet of two seeds starts as one, and a witness that was overwritten writes again

A seed counts as joined as soon as anybody answers it, also one that asked it first; other seeds that are not here were called each 3 s only, so a fleet that starts at once stood in parts for seconds (class: a start that takes the first answer for the whole). And of witnesses of a drain that write at one place of the table at once the later one's entry alone stands; the others had forgotten that they had anything to say (class: a write that is taken for done when it is sent). Change: seeds that are not here are called from 0.2 s after the start on, the pause doubles up to 3 s, and one that is here is not drawn in their place. A witness looks again 0.2 to 0.3 s after each write and writes at a free place if its entry is gone; eight writes at most.

--- a/emulator/state_model.cpp
+++ b/emulator/state_model.cpp
@@ -151,6 +151,10 @@
     write.name = {table, key};
     if (const auto value = replica::read_value(table, text, error)) write.value = *value;
     write.expires = expires;
+    return this->write(member, std::move(write), reach);
+}
+
+Replica::Ticket StateModel::write(std::size_t member, replica::Write write, const replica::Reach& reach) {
     const auto ticket = copy(member).write(now_, wall(member), std::move(write), reach);
     pump(member);
     return ticket;
@@ -160,9 +164,7 @@
     replica::Write write;
     write.name = {table, key};
     write.deleted = true;
-    const auto ticket = copy(member).write(now_, wall(member), std::move(write));
-    pump(member);
-    return ticket;
+    return this->write(member, std::move(write));
 }
 
 std::string StateModel::get(std::size_t member, const std::string& table, const std::string& key) {
--- a/emulator/state_model.h
+++ b/emulator/state_model.h
@@ -56,6 +56,8 @@
     replica::Replica::Ticket put(std::size_t member, const std::string& table, const std::string& key,
                                  const std::string& text, const replica::Reach& reach = {},
                                  replica::Wall expires = 0);
+    replica::Replica::Ticket write(std::size_t member, replica::Write write,
+                                   const replica::Reach& reach = {});
     replica::Replica::Ticket remove(std::size_t member, const std::string& table, const std::string& key);
     /// In words; "-" where there is none.
     std::string get(std::size_t member, const std::string& table, const std::string& key);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t kEntriesASecond = 20;  // whole lists given: 300 that start at once come in turn
 constexpr Duration kJoinAgain = 300ms;       // between asks of a member that knows nobody yet
 constexpr Duration kJoinMost = 3s;
+// Before the first call of a seed that is not here; the pause doubles up to Pace::reconnect_every. Seeds that
+// start at once are each joined by others before one has asked the other: the fleet begins in parts.
+constexpr Duration kFirstReconnect = 200ms;
 constexpr Duration kLossSettles = 1s;  // deaths that follow each other in this time are told of together
 constexpr Duration kLossMost = 10s;
 constexpr Duration kLossLook = 200ms;  // until those that are suspected too are dead or have refuted
@@ -76,7 +79,8 @@
     };
     probe_at_ = now + jitter(pace_.probe_every);
     gossip_at_ = now + jitter(pace_.gossip_every);
-    reconnect_at_ = now + pace_.reconnect_every + jitter(pace_.reconnect_every);
+    reconnect_pause_ = kFirstReconnect;
+    reconnect_at_ = now + kFirstReconnect + jitter(kFirstReconnect);
     compare_at_ = now;
     rumours_.add(own_claim());
     tick(now);
@@ -148,7 +152,8 @@
     if (compare_at_ <= now) compare(now);
     if (reconnect_at_ <= now) {
         reconnect(now);
-        reconnect_at_ = now + pace_.reconnect_every;
+        reconnect_pause_ = std::min(reconnect_pause_ * 2, pace_.reconnect_every);
+        reconnect_at_ = now + reconnect_pause_;
     }
     if (distrust_since_ && now > *distrust_since_ + kDistrustMost) distrust_since_.reset();
     forget(now);
@@ -896,10 +901,11 @@
             break;
         }
     }
-    if (!seeds_.empty()) {
-        const std::string& seed = seeds_[draw(seeds_.size())];
-        if (seed != self_.address && !by_address_.contains(seed)) where.push_back(seed);
+    std::vector<std::string> missing_seeds;
+    for (const std::string& seed : seeds_) {
+        if (seed != self_.address && !by_address_.contains(seed)) missing_seeds.push_back(seed);
     }
+    if (!missing_seeds.empty()) where.push_back(missing_seeds[draw(missing_seeds.size())]);
     for (const std::string& address : where) {
         if (by_address_.contains(address) || address == self_.address) continue;
         Message ask;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -237,6 +237,7 @@
     Rumours rumours_;
 
     Time probe_at_{}, gossip_at_{}, compare_at_{}, reconnect_at_{}, due_{};
+    Duration reconnect_pause_{};
     std::optional<Time> distrust_since_;
     std::set<Id> heard_since_;
     std::deque<Id> recent_;  ///< heard last, the latest last
--- a/src/fleet/options.h
+++ b/src/fleet/options.h
@@ -22,7 +22,8 @@
     /// The same where nobody listens at its address any more: a process that stalls still listens.
     Duration gone = 700ms;
     Duration exchange_every = 15s;  ///< digests are compared with one other
-    Duration reconnect_every = 3s;  ///< one that is dead is called: it may be a healed link
+    /// One that is dead is called: it may be a healed link. A seed that is not here too, more often at first.
+    Duration reconnect_every = 3s;
     /// Lifeguard's first part, and distrust of oneself after a stall; off only to measure what they are
     /// worth.
     bool own_health = true;
--- a/src/replica/guidance.cpp
+++ b/src/replica/guidance.cpp
@@ -87,46 +87,62 @@
     return result;
 }
 
+Duration Guidance::spread() {
+    return Duration{static_cast<Duration::rep>(random_() % static_cast<std::uint64_t>(kSpread.count()))};
+}
+
 void Guidance::drained(const std::string& uid, const Drain& drain, Time now) {
-    const Duration wait{static_cast<Duration::rep>(random_() % static_cast<std::uint64_t>(kSpread.count()))};
-    seen_[uid] = {now + wait, drain};
-    seen_[uid].second.source = source_;
+    Observation& observation = observations_[uid];
+    observation = {drain, now + spread()};
+    observation.drain.source = source_;
 }
 
 std::optional<Time> Guidance::next() const {
     std::optional<Time> when;
-    for (const auto& [uid, seen] : seen_) when = std::min(when.value_or(Time::max()), seen.first);
+    for (const auto& [uid, observation] : observations_)
+        when = std::min(when.value_or(Time::max()), observation.look_at);
     return when;
 }
 
+Guidance::Standing Guidance::standing(const std::string& uid, const Drain& drain, Wall wall) {
+    Standing result;
+    const std::size_t first = random_() % kPlaces;
+    for (std::size_t i = 0; i < kPlaces; ++i) {
+        const std::size_t place = (first + i) % kPlaces;
+        const Version* version = copy_.get({"drains", place_of(uid, place)}, wall);
+        const auto held = version ? read_drain(version->value) : std::nullopt;
+        if (!held || held->source != source_ || held->boot_ms != drain.boot_ms) {
+            if (!result.free_place) result.free_place = place;
+        } else if (version->by == name_) {
+            result.own = true;
+        }
+    }
+    return result;
+}
+
+/// A witness looks again after each write: another may have written at the same place concurrently, and then
+/// the later entry alone stands.
 std::vector<Write> Guidance::writes(Time now, Wall wall) {
     std::vector<Write> result;
-    for (auto it = seen_.begin(); it != seen_.end();) {
-        const auto& [uid, seen] = *it;
-        if (seen.first > now) {
+    for (auto it = observations_.begin(); it != observations_.end();) {
+        auto& [uid, observation] = *it;
+        if (observation.look_at > now) {
             ++it;
             continue;
         }
-        std::size_t told = 0;
-        std::optional<std::size_t> free;
-        const std::size_t first = random_() % kPlaces;
-        for (std::size_t i = 0; i < kPlaces; ++i) {
-            const std::size_t place = (first + i) % kPlaces;
-            const Version* version = copy_.get({"drains", place_of(uid, place)}, wall);
-            const auto drain = version ? read_drain(version->value) : std::nullopt;
-            const bool same = drain && drain->source == source_ && drain->boot_ms == seen.second.boot_ms;
-            told += same && version->by != name_ ? 1 : 0;
-            if (same && version->by == name_) told = kPlaces;
-            if (!same && !free) free = place;
-        }
-        if (told < kPlaces && free) {
-            Write write;
-            write.name = {"drains", place_of(uid, *free)};
-            write.value = {bytes_of(seen.second), 0};
-            write.expires = wall + static_cast<Wall>(kHintLife / 1ms);
-            result.push_back(std::move(write));
+        const Standing stands = standing(uid, observation.drain, wall);
+        if (stands.own || !stands.free_place || observation.writes == kMaxWrites) {
+            it = observations_.erase(it);
+            continue;
         }
-        it = seen_.erase(it);
+        Write write;
+        write.name = {"drains", place_of(uid, *stands.free_place)};
+        write.value = {bytes_of(observation.drain), 0};
+        write.expires = wall + static_cast<Wall>(kHintLife / 1ms);
+        result.push_back(std::move(write));
+        ++observation.writes;
+        observation.look_at = now + kSettleTime + spread();
+        ++it;
     }
     return result;
 }
--- a/src/replica/guidance.h
+++ b/src/replica/guidance.h
@@ -34,6 +34,10 @@
     static constexpr Duration kVerdictLife = 60s;
     /// Witnesses write one after the other, so that the first are enough.
     static constexpr Duration kSpread = 100ms;
+    /// After a write, until what others wrote at the same place meanwhile has come: two pushes.
+    static constexpr Duration kSettleTime = 200ms;
+    /// Writes of one drain by one witness, the first among them.
+    static constexpr int kMaxWrites = 8;
 
     Guidance(const Replica& copy, std::string name, std::string source, std::uint64_t seed)
         : copy_(copy), name_(std::move(name)), source_(std::move(source)), random_(seed) {}
@@ -66,7 +70,20 @@
     std::set<std::pair<Wall, std::string>> ends_;
     std::map<std::string, Wall> end_of_;
     void ends_at(const std::string& uid, std::optional<Wall> end);
-    std::map<std::string, std::pair<Time, Drain>> seen_;
+    /// What this sidecar's discovery has told of a drain, until enough witnesses stand.
+    struct Observation {
+        Drain drain;
+        Time look_at{};  ///< when it is next looked whether there is something to write
+        int writes = 0;
+    };
+    /// The table's entries of an observed drain.
+    struct Standing {
+        bool own = false;  ///< this sidecar's entry stands
+        std::optional<std::size_t> free_place;
+    };
+    Standing standing(const std::string& uid, const Drain& drain, Wall wall);
+    Duration spread();
+    std::map<std::string, Observation> observations_;  // by the endpoint's uid
 };
 
 }  // namespace martenford::replica
--- a/tests/replica/replica_test.cpp
+++ b/tests/replica/replica_test.cpp
@@ -37,7 +37,7 @@
         [&] {
             for (std::size_t i = 1; i < members; ++i) {
                 for (replica::Write& write : witnesses[i].writes(model.now(), model.wall(i)))
-                    model.copy(i).write(model.now(), model.wall(i), std::move(write));
+                    model.write(i, std::move(write));
             }
             return witnesses[0].of(kEndpoint, model.wall(0), members).drains.has_value();
         },
