--- a/tests/mesh/admission_controller_test.cpp
+++ b/tests/mesh/admission_controller_test.cpp
@@ -133,6 +133,24 @@
     CHECK(inbound.actions(inbound.receive(attempt("other"))) == "send ");
 }
 
+TEST_CASE(
+    "the endpoint's own rejection is told as such, also when queued requests are rejected in the same step") {
+    Fixture inbound;
+    const auto turned_away = inbound.receive(attempt("a"));
+    inbound.receive(attempt("b"));
+    const auto queued = inbound.receive(attempt("c"));
+    inbound.controller.remove_endpoint();
+    inbound.end(turned_away, Status::Full);
+    REQUIRE(inbound.actions(turned_away) == "send refuse ");
+    REQUIRE(inbound.actions(queued) == "refuse ");
+    CHECK(inbound.controller.was_turned_away(turned_away));
+    CHECK_FALSE(inbound.controller.was_turned_away(queued));
+    // One that did not reach the endpoint was not rejected by it.
+    const auto unreached = inbound.receive(attempt("d"));
+    CHECK(inbound.actions(unreached) == "refuse ");
+    CHECK_FALSE(inbound.controller.was_turned_away(unreached));
+}
+
 TEST_CASE("a query fences an attempt that was not sent, also if it is queued or arrives later") {
     Fixture inbound;
     const auto first = inbound.receive(attempt("a"));
