Mend: an endpoint's own rejection keeps its mark when queued requests are rejected too

Change: the mark is set before the rejection is handed out and is not cleared by others; request ids are not used twice, so it fits no other request.

--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -186,9 +186,8 @@
     if (!call.open) {
         forget_if_finished(outcome.id);
     } else if (never_ran) {
-        const RequestId id = outcome.id;
+        if (outcome.status == Status::Full) last_turned_away_ = outcome.id;
         reject(call);
-        if (outcome.status == Status::Full) last_turned_away_ = id;
     } else {
         fail(call);
     }
@@ -233,7 +232,6 @@
 
 /// It did not run: the caller may go elsewhere.
 void AdmissionController::reject(Call& call) {
-    last_turned_away_.clear();
     finish(call, Refuse{call.request.id, Duration{}});
 }
 
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -93,8 +93,8 @@
         return delivered_attempts_.fence(now, attempt_id, age);
     }
 
-    /// Whether the endpoint itself turned this request away, which was rejected last of all: asked when the
-    /// rejection is written, at once.
+    /// Whether the endpoint itself rejected this request, and no other one since. Asked when the rejection is
+    /// written, which is in the step that made it. Request ids are not used twice.
     [[nodiscard]] bool was_turned_away(const RequestId& id) const { return last_turned_away_ == id; }
 
     /// How long a request that came now would wait for a slot; 10 s if there has been no endpoint yet.
@@ -168,7 +168,7 @@
     std::map<std::uint64_t, RequestId> ids_by_number_;
     std::map<QueueKey, RequestId> queue_;
     std::uint64_t last_call_number_ = 0;
-    RequestId last_turned_away_;                        // empty: the last rejection was this proxy's own
+    RequestId last_turned_away_;                        // the last that the endpoint itself rejected
     Time now_{};                                        // of the event being handled
     std::vector<decision::Action>* actions_ = nullptr;  // its output
 };
