Test rig: addresses for up to 508 machines, so that soaks can have 250 proxies

Cause: the rig's machines were hosts of one network of 256 addresses; a soak with 200 proxies had none for the last of them and played nothing. Change: machines beyond 254 are in a second network; more than 508 are an error.

--- a/tests/mesh/rig/processes.cpp
+++ b/tests/mesh/rig/processes.cpp
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <iterator>
 #include <sstream>
+#include <stdexcept>
 
 namespace martenford::rig {
 
@@ -38,9 +39,12 @@
 }
 
 std::string Processes::ip(std::size_t machine) {
+    if (machine > kMaxMachine) throw std::out_of_range("there is no address for so many machines");
     const auto pid = static_cast<unsigned>(::getpid());
-    return "127." + std::to_string(100 + (pid >> 8) % 100) + "." + std::to_string(pid & 0xff) + "." +
-           std::to_string(machine);
+    const bool is_in_first = machine <= kMachinesPerNetwork;
+    const unsigned network = is_in_first ? 100 + (pid >> 8) % 100 : 200 + (pid >> 8) % 50;
+    const std::size_t host = is_in_first ? machine : machine - kMachinesPerNetwork;
+    return "127." + std::to_string(network) + "." + std::to_string(pid & 0xff) + "." + std::to_string(host);
 }
 
 namespace {
--- a/tests/mesh/rig/processes.h
+++ b/tests/mesh/rig/processes.h
@@ -46,8 +46,12 @@
 
     /// The directory of settings, logs and data directories.
     [[nodiscard]] const std::string& directory() const { return directory_; }
+    /// The host numbers 1 to 254 of a network of 256 addresses; a test has two such networks.
+    static constexpr std::size_t kMachinesPerNetwork = 254;
+    static constexpr std::size_t kMaxMachine = 2 * kMachinesPerNetwork;
     /// Returns "127.x.y.<machine>", where x and y derive from this test's process id: several tests, and
-    /// several runs of one, can listen at the same time.
+    /// several runs of one, can listen at the same time. Machines beyond 254 are in a second network. Throws
+    /// std::out_of_range beyond kMaxMachine.
     [[nodiscard]] static std::string ip(std::size_t machine);
     /// Writes the settings file and starts the program. A controller keeps its data directory over restarts.
     void start(const Machine& machine);
