--- a/src/replica/guidance.cpp
+++ b/src/replica/endpoint_overrides.cpp
@@ -1,4 +1,4 @@
-#include "replica/guidance.h"
+#include "replica/endpoint_overrides.h"
 
 #include <algorithm>
 
--- a/src/replica/keeper.h
+++ b/src/replica/keeper.h
@@ -13,7 +13,7 @@
 #include "core/counters.h"
 #include "core/loop.h"
 #include "peers/peers.h"
-#include "replica/guidance.h"
+#include "replica/endpoint_overrides.h"
 #include "replica/options.h"
 #include "replica/replica.h"
 #include "replica/shelf_link.h"
--- a/tests/replica/replica_test.cpp
+++ b/tests/replica/replica_test.cpp
@@ -4,7 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "emulator/state_model.h"
-#include "replica/guidance.h"
+#include "replica/endpoint_overrides.h"
 
 namespace martenford::emulator {
 namespace {
--- a/tools/emulator/verdicts.cpp
+++ b/tools/emulator/verdicts.cpp
@@ -9,7 +9,7 @@
 
 #include "emulator/state_model.h"
 #include "outlier/outlier_policy.h"
-#include "replica/guidance.h"
+#include "replica/endpoint_overrides.h"
 
 namespace martenford::emulator {
 
