Names: EndpointOverrides and EndpointOverride, and their members by the field's terms

Change: Guidance -> EndpointOverrides, Guide -> EndpointOverride (replica and membership), guide() -> set_endpoint_override(), place -> slot, hint's and verdict's life -> kDrainTtl, kVerdictTtl, convicted -> ejected_by_others, due -> take_expired. of() is split: operators' overrides, confirmed drains, expiries; how many witnesses are needed stands once. No logic changed; wire and disk unchanged.

--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -35,8 +35,9 @@
     /// anew.
     void saw(EndpointId id, decision::Status status);
     /// What others than discovery say of an endpoint.
-    void guide(const std::string& uid, const Membership::Guide& guide) {
-        apply(membership_.guide(uid, guide));
+    void set_endpoint_override(const std::string& uid,
+                               const Membership::EndpointOverride& endpoint_override) {
+        apply(membership_.set_endpoint_override(uid, endpoint_override));
     }
     /// Called with each endpoint that discovery no longer lists as ready, and the list's revision.
     void on_drained(std::function<void(const Membership::Drained&, std::uint64_t)> call) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -124,11 +124,13 @@
         engine_.on_subscribe([this] { discovery_.subscribe(); });
         engine_.on_ended([this](EndpointId id, decision::Status status) { discovery_.saw(id, status); });
         if (keeper_) {
-            keeper_->on_guide([this](const std::string& uid, const replica::Guide& guide) {
-                Membership::Guide to{guide.away, guide.weight, {}};
-                if (guide.drains) to.drains = {guide.drains->revision, guide.drains->boot_ms};
-                discovery_.guide(uid, to);
-            });
+            keeper_->on_endpoint_override(
+                [this](const std::string& uid, const replica::EndpointOverride& endpoint_override) {
+                    Membership::EndpointOverride to{endpoint_override.away, endpoint_override.weight, {}};
+                    if (endpoint_override.drains)
+                        to.drains = {endpoint_override.drains->revision, endpoint_override.drains->boot_ms};
+                    discovery_.set_endpoint_override(uid, to);
+                });
             if (outliers_) {
                 // Not within the module's own turn: what follows from it is told to the module.
                 outliers_->on_ejected([this](EndpointId id, std::uint32_t failures) {
@@ -136,7 +138,7 @@
                         if (const auto uid = discovery_.uid_of(id)) keeper_->ejected(*uid, failures);
                     });
                 });
-                keeper_->on_convicted([this](const std::string& uid) {
+                keeper_->on_ejected_by_others([this](const std::string& uid) {
                     if (const auto id = discovery_.id_of(uid)) outliers_->warn(*id);
                 });
             }
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -117,24 +117,24 @@
     update.placed.push_back({known.id, known.address, endpoint.availability == Availability::Ready, &uid});
 }
 
-bool Membership::hint_counts(const Known& known, const Guide& guide) const {
-    return guide.drains && known.boot_ms == guide.drains->boot_ms &&
+bool Membership::hint_counts(const Known& known, const EndpointOverride& endpoint_override) const {
+    return endpoint_override.drains && known.boot_ms == endpoint_override.drains->boot_ms &&
            known.endpoint.availability == Availability::Ready && revision_ &&
-           guide.drains->revision > *revision_;
+           endpoint_override.drains->revision > *revision_;
 }
 
 decision::Endpoint Membership::effective(const std::string& uid, const Known& known) {
     decision::Endpoint endpoint = known.endpoint;
-    if (guides_.empty()) return endpoint;
-    const auto it = guides_.find(uid);
-    const bool hint = it != guides_.end() && hint_counts(known, it->second);
+    if (endpoint_overrides_.empty()) return endpoint;
+    const auto it = endpoint_overrides_.find(uid);
+    const bool hint = it != endpoint_overrides_.end() && hint_counts(known, it->second);
     if (!hint) {
         hinted_.erase(uid);
     } else if (!hinted_.contains(uid) && (hinted_.size() + 1) * kHintedPart <= ready_) {
         hinted_.insert(uid);
         ++figures_.hinted;
     }
-    if (it == guides_.end() || endpoint.availability != Availability::Ready) return endpoint;
+    if (it == endpoint_overrides_.end() || endpoint.availability != Availability::Ready) return endpoint;
     if (it->second.away || it->second.weight <= 0.0 || hinted_.contains(uid)) {
         endpoint.availability = Availability::Draining;
     } else {
@@ -143,17 +143,18 @@
     return endpoint;
 }
 
-Membership::Update Membership::guide(const std::string& uid, const Guide& guide) {
+Membership::Update Membership::set_endpoint_override(const std::string& uid,
+                                                     const EndpointOverride& endpoint_override) {
     Update update;
     update.news.kind = Discovered::Kind::Failed;
     const auto known = known_.find(uid);
     std::optional<decision::Endpoint> before;
     if (known != known_.end()) before = effective(uid, known->second);
-    if (guide == Guide{}) {
-        guides_.erase(uid);
+    if (endpoint_override == EndpointOverride{}) {
+        endpoint_overrides_.erase(uid);
         hinted_.erase(uid);
     } else {
-        guides_[uid] = guide;
+        endpoint_overrides_[uid] = endpoint_override;
     }
     if (!before) return update;
     const decision::Endpoint after = effective(uid, known->second);
@@ -282,7 +283,8 @@
     // Discovery has told what is as new as the others' word: it goes by itself again.
     for (const std::string& uid : were_hinted) {
         const auto it = known_.find(uid);
-        if (it == known_.end() || !hinted_.contains(uid) || hint_counts(it->second, guides_.at(uid)))
+        if (it == known_.end() || !hinted_.contains(uid) ||
+            hint_counts(it->second, endpoint_overrides_.at(uid)))
             continue;
         place(it->first, it->second, *news, update);
     }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -52,7 +52,7 @@
     };
     /// What others than discovery say of an endpoint. It takes away and never adds: an endpoint is at most as
     /// ready as discovery lists it.
-    struct Guide {
+    struct EndpointOverride {
         bool away = false;    ///< an operator's word: nothing new goes there
         double weight = 1.0;  ///< an operator's, beside discovery's
         /// Other sidecars' discovery has it drain or gone, at this revision of the list, in the life that
@@ -63,7 +63,7 @@
             bool operator==(const Hint&) const = default;
         };
         std::optional<Hint> drains;
-        bool operator==(const Guide&) const = default;
+        bool operator==(const EndpointOverride&) const = default;
     };
     /// An endpoint that discovery no longer lists as ready, and the life that this ends.
     struct Drained {
@@ -97,7 +97,7 @@
     /// What was doubted for long enough, as changes. To be called at next_due().
     Update believe(Time now);
     /// What is said of an endpoint from here on, known or not.
-    Update guide(const std::string& uid, const Guide& guide);
+    Update set_endpoint_override(const std::string& uid, const EndpointOverride& endpoint_override);
     std::optional<Time> next_due() const { return doubted_until_; }
 
     /// Another discovery from here on: revisions mean something else, the endpoints stay.
@@ -129,7 +129,7 @@
     void enter(const Target& target, Time now, Time epoch, List& news, Update& update);
     void remove(const std::string& uid, Time now, List& news, Update& update);
     bool doubts(std::size_t going) const;
-    bool hint_counts(const Known& known, const Guide& guide) const;
+    bool hint_counts(const Known& known, const EndpointOverride& endpoint_override) const;
     decision::Endpoint effective(const std::string& uid, const Known& known);
     void place(const std::string& uid, const Known& known, List& news, Update& update);
     EndpointId new_id(const std::string& uid);
@@ -146,7 +146,7 @@
     std::optional<std::uint64_t> revision_;
     std::unordered_set<std::string> doubted_;  // to be removed, unless they are listed again before
     std::optional<Time> doubted_until_;
-    std::unordered_map<std::string, Guide> guides_;
+    std::unordered_map<std::string, EndpointOverride> endpoint_overrides_;
     std::unordered_set<std::string> hinted_;  // that a hint keeps away now
     Figures figures_;
 };
--- a/src/replica/endpoint_overrides.cpp
+++ b/src/replica/endpoint_overrides.cpp
@@ -4,61 +4,75 @@
 
 namespace martenford::replica {
 
-std::optional<std::string> Guidance::endpoint_of(const Name& name) {
+namespace {
+
+/// Lowers `expires` to the version's expiry, if it has one.
+void note_expiry(const Version& version, std::optional<Wall>& expires) {
+    if (version.expires) expires = std::min(expires.value_or(version.expires), version.expires);
+}
+
+}  // namespace
+
+std::optional<std::string> EndpointOverrides::endpoint_of(const Name& name) {
     if (name.table == "overrides") return name.key;
     if (name.table == "drains") return name.key.substr(0, name.key.rfind('/'));
     return std::nullopt;
 }
 
-Guide Guidance::of(const std::string& uid, Wall wall, std::size_t live) {
-    Guide guide;
-    std::optional<Wall> end;
-    const auto note_end = [&](const Version& version) {
-        if (version.expires) end = std::min(end.value_or(version.expires), version.expires);
-    };
+/// One witness alone may be wrong, or lie; where there is only one other sidecar, there is no second.
+std::size_t EndpointOverrides::required_witnesses(std::size_t live) {
+    const std::size_t others = std::max<std::size_t>(live, 2) - 1;
+    return std::min(kMinWitnesses, others);
+}
+
+EndpointOverride EndpointOverrides::of(const std::string& uid, Wall wall, std::size_t live) {
+    EndpointOverride result;
+    std::optional<Wall> expires;
     if (const Version* version = copy_.get({"overrides", uid}, wall)) {
-        note_end(*version);
-        if (const auto override_ = read_override(version->value)) {
-            guide.away = override_->what == Override::What::Exclude;
-            if (override_->what == Override::What::Weight) guide.weight = override_->percent / 100.0;
+        note_expiry(*version, expires);
+        if (const auto by_operator = read_override(version->value)) {
+            result.away = by_operator->what == Override::What::Exclude;
+            if (by_operator->what == Override::What::Weight) result.weight = by_operator->percent / 100.0;
         }
     }
-    struct Told {
-        std::set<std::string> witnesses;
-        std::optional<Drain> least;
-    };
-    std::map<std::int64_t, Told> lives;  // by their beginning
-    for (std::size_t place = 0; place < kPlaces; ++place) {
-        const Version* version = copy_.get({"drains", place_of(uid, place)}, wall);
+    result.drains = confirmed_drain(uid, wall, live, expires);
+    set_expiry(uid, expires);
+    return result;
+}
+
+/// Of the lowest revision that its witnesses tell: one that makes up a high revision would outlast what this
+/// sidecar's own discovery says.
+std::optional<Drain> EndpointOverrides::confirmed_drain(const std::string& uid, Wall wall, std::size_t live,
+                                                        std::optional<Wall>& expires) const {
+    std::map<std::int64_t, Witnesses> by_boot_time;
+    for (std::size_t slot = 0; slot < kDrainSlots; ++slot) {
+        const Version* version = copy_.get({"drains", slot_key(uid, slot)}, wall);
         if (!version) continue;
         const auto drain = read_drain(version->value);
         if (!drain || drain->source != source_) continue;
-        note_end(*version);
-        Told& told = lives[drain->boot_ms];
-        told.witnesses.insert(version->by);
-        // The least that they say: one that makes up a high revision would outlast the own discovery's word.
-        if (!told.least || drain->revision < told.least->revision) told.least = drain;
+        note_expiry(*version, expires);
+        Witnesses& witnesses = by_boot_time[drain->boot_ms];
+        witnesses.names.insert(version->by);
+        if (!witnesses.oldest || drain->revision < witnesses.oldest->revision) witnesses.oldest = drain;
     }
-    // One alone may be wrong, or lie; where only one other is, there is no second.
-    const std::size_t others = std::max<std::size_t>(live, 2) - 1;
-    for (const auto& [boot, told] : lives) {
-        if (told.witnesses.size() >= std::min(kWitnesses, others)) guide.drains = told.least;
+    std::optional<Drain> confirmed;
+    for (const auto& [boot_ms, witnesses] : by_boot_time) {
+        if (witnesses.names.size() >= required_witnesses(live)) confirmed = witnesses.oldest;
     }
-    ends_at(uid, end);
-    return guide;
+    return confirmed;
 }
 
-void Guidance::ends_at(const std::string& uid, std::optional<Wall> end) {
-    if (const auto it = end_of_.find(uid); it != end_of_.end()) {
-        ends_.erase({it->second, uid});
-        end_of_.erase(it);
+void EndpointOverrides::set_expiry(const std::string& uid, std::optional<Wall> expires) {
+    if (const auto it = expiry_of_.find(uid); it != expiry_of_.end()) {
+        expiries_.erase({it->second, uid});
+        expiry_of_.erase(it);
     }
-    if (!end) return;
-    ends_.emplace(*end, uid);
-    end_of_.emplace(uid, *end);
+    if (!expires) return;
+    expiries_.emplace(*expires, uid);
+    expiry_of_.emplace(uid, *expires);
 }
 
-bool Guidance::convicted(const std::string& uid, Wall wall, std::size_t live) const {
+bool EndpointOverrides::ejected_by_others(const std::string& uid, Wall wall, std::size_t live) const {
     std::set<std::string> witnesses;
     copy_.each_under({"verdicts", uid + '/'}, [&](const Name& name, const Entry& entry) {
         const Version* version = entry.resolve(wall);
@@ -66,82 +80,80 @@
         const auto verdict = read_verdict(version->value);
         if (verdict && verdict->what == Verdict::What::Failing) witnesses.insert(version->by);
     });
-    const std::size_t others = std::max<std::size_t>(live, 2) - 1;
-    return witnesses.size() >= std::min(kWitnesses, others);
+    return witnesses.size() >= required_witnesses(live);
 }
 
-Write Guidance::verdict(const std::string& uid, std::uint32_t failed, Wall wall) const {
+Write EndpointOverrides::verdict(const std::string& uid, std::uint32_t failed, Wall wall) const {
     Write write;
     write.name = {"verdicts", uid + '/' + name_};
     write.value = {bytes_of(Verdict{Verdict::What::Failing, failed, failed}), 0};
-    write.expires = wall + static_cast<Wall>(kVerdictLife / 1ms);
+    write.expires = wall + static_cast<Wall>(kVerdictTtl / 1ms);
     return write;
 }
 
-std::vector<std::string> Guidance::due(Wall wall) {
+std::vector<std::string> EndpointOverrides::take_expired(Wall wall) {
     std::vector<std::string> result;
-    while (!ends_.empty() && ends_.begin()->first <= wall) {
-        result.push_back(ends_.begin()->second);
-        ends_at(result.back(), std::nullopt);
+    while (!expiries_.empty() && expiries_.begin()->first <= wall) {
+        result.push_back(expiries_.begin()->second);
+        set_expiry(result.back(), std::nullopt);
     }
     return result;
 }
 
-Duration Guidance::spread() {
-    return Duration{static_cast<Duration::rep>(random_() % static_cast<std::uint64_t>(kSpread.count()))};
+Duration EndpointOverrides::random_write_delay() {
+    const auto bound = static_cast<std::uint64_t>(kMaxWriteDelay.count());
+    return Duration{static_cast<Duration::rep>(random_() % bound)};
 }
 
-void Guidance::drained(const std::string& uid, const Drain& drain, Time now) {
+void EndpointOverrides::drained(const std::string& uid, const Drain& drain, Time now) {
     Observation& observation = observations_[uid];
-    observation = {drain, now + spread()};
+    observation = {drain, now + random_write_delay()};
     observation.drain.source = source_;
 }
 
-std::optional<Time> Guidance::next() const {
+std::optional<Time> EndpointOverrides::next() const {
     std::optional<Time> when;
     for (const auto& [uid, observation] : observations_)
-        when = std::min(when.value_or(Time::max()), observation.look_at);
+        when = std::min(when.value_or(Time::max()), observation.check_at);
     return when;
 }
 
-Guidance::Standing Guidance::standing(const std::string& uid, const Drain& drain, Wall wall) {
-    Standing result;
-    const std::size_t first = random_() % kPlaces;
-    for (std::size_t i = 0; i < kPlaces; ++i) {
-        const std::size_t place = (first + i) % kPlaces;
-        const Version* version = copy_.get({"drains", place_of(uid, place)}, wall);
+EndpointOverrides::Slots EndpointOverrides::slots_of(const std::string& uid, const Drain& drain, Wall wall) {
+    Slots result;
+    const std::size_t first = random_() % kDrainSlots;
+    for (std::size_t i = 0; i < kDrainSlots; ++i) {
+        const std::size_t slot = (first + i) % kDrainSlots;
+        const Version* version = copy_.get({"drains", slot_key(uid, slot)}, wall);
         const auto held = version ? read_drain(version->value) : std::nullopt;
-        if (!held || held->source != source_ || held->boot_ms != drain.boot_ms) {
-            if (!result.free_place) result.free_place = place;
-        } else if (version->by == name_) {
-            result.own = true;
-        }
+        const bool is_same = held && held->source == source_ && held->boot_ms == drain.boot_ms;
+        if (!is_same && !result.free) result.free = slot;
+        if (is_same && version->by == name_) result.has_own = true;
     }
     return result;
 }
 
-/// A witness looks again after each write: another may have written at the same place concurrently, and then
-/// the later entry alone stands.
-std::vector<Write> Guidance::writes(Time now, Wall wall) {
+/// A witness checks its slot again after each write: another may have written to the same slot concurrently,
+/// and then the later entry alone stands.
+std::vector<Write> EndpointOverrides::writes(Time now, Wall wall) {
     std::vector<Write> result;
     for (auto it = observations_.begin(); it != observations_.end();) {
         auto& [uid, observation] = *it;
-        if (observation.look_at > now) {
+        if (observation.check_at > now) {
             ++it;
             continue;
         }
-        const Standing stands = standing(uid, observation.drain, wall);
-        if (stands.own || !stands.free_place || observation.writes == kMaxWrites) {
+        const Slots slots = slots_of(uid, observation.drain, wall);
+        if (slots.has_own || !slots.free || observation.writes == kMaxWrites) {
             it = observations_.erase(it);
             continue;
         }
         Write write;
-        write.name = {"drains", place_of(uid, *stands.free_place)};
+        write.name = {"drains", slot_key(uid, *slots.free)};
         write.value = {bytes_of(observation.drain), 0};
-        write.expires = wall + static_cast<Wall>(kHintLife / 1ms);
+        write.expires = wall + static_cast<Wall>(kDrainTtl / 1ms);
         result.push_back(std::move(write));
         ++observation.writes;
-        observation.look_at = now + kSettleTime + spread();
+        observation.check_at = now + kSettleTime + random_write_delay();
         ++it;
     }
     return result;
--- a/src/replica/endpoint_overrides.h
+++ b/src/replica/endpoint_overrides.h
@@ -15,74 +15,89 @@
 
 namespace martenford::replica {
 
-/// An endpoint by the word of operators and of other sidecars.
-struct Guide {
-    bool away = false;
-    double weight = 1.0;
-    std::optional<Drain> drains;
+/// What operators and other sidecars say of an endpoint.
+struct EndpointOverride {
+    bool away = false;            ///< an operator has excluded it
+    double weight = 1.0;          ///< an operator's, beside discovery's
+    std::optional<Drain> drains;  ///< enough other sidecars were told that it drains
 };
 
-class Guidance {
+/// Reads the tables "overrides", "drains" and "verdicts", and says what this sidecar writes there. Each entry
+/// of "drains" stands in one of kDrainSlots slots of its endpoint; its writer is a witness.
+class EndpointOverrides {
   public:
-    /// Places for witnesses of one drain: more say nothing new, and 300 sidecars see the same list.
-    static constexpr std::size_t kPlaces = 3;
-    /// So many of different names convince, where there are so many.
-    static constexpr std::size_t kWitnesses = 2;
-    /// A hint's life: by then discovery has told all that it reaches.
-    static constexpr Duration kHintLife = 60s;
-    /// A verdict's life: as long as an endpoint is ejected the first time.
-    static constexpr Duration kVerdictLife = 60s;
-    /// Witnesses write one after the other, so that the first are enough.
-    static constexpr Duration kSpread = 100ms;
-    /// After a write, until what others wrote at the same place meanwhile has come: two pushes.
+    /// Slots for the witnesses of one drain: more say nothing new, and 300 sidecars see the same list.
+    static constexpr std::size_t kDrainSlots = 3;
+    /// Witnesses with different names that a drain or an ejection needs, where there are so many sidecars.
+    static constexpr std::size_t kMinWitnesses = 2;
+    /// By then discovery has told all sidecars that it reaches.
+    static constexpr Duration kDrainTtl = 60s;
+    /// As long as an endpoint is ejected the first time.
+    static constexpr Duration kVerdictTtl = 60s;
+    /// Witnesses write after a random delay up to this one, so that most find the slots taken.
+    static constexpr Duration kMaxWriteDelay = 100ms;
+    /// After a write, until concurrent writes of others to the same slot have arrived: two pushes.
     static constexpr Duration kSettleTime = 200ms;
     /// Writes of one drain by one witness, the first among them.
     static constexpr int kMaxWrites = 8;
 
-    Guidance(const Replica& copy, std::string name, std::string source, std::uint64_t seed)
+    /// @param name this sidecar's
+    /// @param source the discovery that it asks; drains of another source are ignored
+    EndpointOverrides(const Replica& copy, std::string name, std::string source, std::uint64_t seed)
         : copy_(copy), name_(std::move(name)), source_(std::move(source)), random_(seed) {}
 
-    /// Of the endpoint whose entry is under this name; nothing where the table is none of endpoints.
+    /// Returns the endpoint that an entry of this name is about, if its table is one of endpoints.
     static std::optional<std::string> endpoint_of(const Name& name);
-    /// `live`: members of the fleet. Remembers when it will change by itself.
-    Guide of(const std::string& uid, Wall wall, std::size_t live);
-    /// Whether enough others have ejected this endpoint of late.
-    bool convicted(const std::string& uid, Wall wall, std::size_t live) const;
-    /// This sidecar has ejected it.
+    /// Returns what holds of an endpoint now, and notes when that changes without a further entry.
+    /// @param live members of the fleet, this one among them
+    EndpointOverride of(const std::string& uid, Wall wall, std::size_t live);
+    /// Whether enough other sidecars have ejected the endpoint of late.
+    bool ejected_by_others(const std::string& uid, Wall wall, std::size_t live) const;
+    /// Returns the entry by which this sidecar tells that it has ejected the endpoint.
     Write verdict(const std::string& uid, std::uint32_t failed, Wall wall) const;
-    /// Endpoints whose guide may have changed with time.
-    std::vector<std::string> due(Wall wall);
+    /// Returns the endpoints of which an entry has expired since the last call.
+    std::vector<std::string> take_expired(Wall wall);
 
-    /// This sidecar's discovery says so. What is to be written about it is given by writes().
+    /// This sidecar's discovery says that the endpoint drains. writes() tells what is to be written.
     void drained(const std::string& uid, const Drain& drain, Time now);
+    /// When writes() is to be called next.
     std::optional<Time> next() const;
+    /// Returns the entries that this sidecar, as a witness of drains, is to write now.
     std::vector<Write> writes(Time now, Wall wall);
 
   private:
-    static std::string place_of(const std::string& uid, std::size_t place) {
-        return uid + '/' + std::to_string(place);
-    }
-    const Replica& copy_;
-    const std::string name_, source_;
-    std::mt19937_64 random_;
-    /// When each endpoint's guide changes by itself, once for each: whoever writes an entry anew with other
-    /// ends adds nothing.
-    std::set<std::pair<Wall, std::string>> ends_;
-    std::map<std::string, Wall> end_of_;
-    void ends_at(const std::string& uid, std::optional<Wall> end);
-    /// What this sidecar's discovery has told of a drain, until enough witnesses stand.
+    /// What this sidecar's discovery has told of a drain, until it needs no further writes.
     struct Observation {
         Drain drain;
-        Time look_at{};  ///< when it is next looked whether there is something to write
+        Time check_at{};
         int writes = 0;
     };
-    /// The table's entries of an observed drain.
-    struct Standing {
-        bool own = false;  ///< this sidecar's entry stands
-        std::optional<std::size_t> free_place;
+    /// The slots of an observed drain.
+    struct Slots {
+        bool has_own = false;  ///< this sidecar's entry stands in one
+        std::optional<std::size_t> free;
+    };
+    /// Witnesses of a drain in one life of the endpoint.
+    struct Witnesses {
+        std::set<std::string> names;
+        std::optional<Drain> oldest;  ///< of the lowest revision
     };
-    Standing standing(const std::string& uid, const Drain& drain, Wall wall);
-    Duration spread();
+    static std::string slot_key(const std::string& uid, std::size_t slot) {
+        return uid + '/' + std::to_string(slot);
+    }
+    static std::size_t required_witnesses(std::size_t live);
+    std::optional<Drain> confirmed_drain(const std::string& uid, Wall wall, std::size_t live,
+                                         std::optional<Wall>& expires) const;
+    Slots slots_of(const std::string& uid, const Drain& drain, Wall wall);
+    Duration random_write_delay();
+    void set_expiry(const std::string& uid, std::optional<Wall> expires);
+
+    const Replica& copy_;
+    const std::string name_, source_;
+    std::mt19937_64 random_;
+    // The next expiry of each endpoint, once: entries that are written anew with other expiries add nothing.
+    std::set<std::pair<Wall, std::string>> expiries_;
+    std::map<std::string, Wall> expiry_of_;
     std::map<std::string, Observation> observations_;  // by the endpoint's uid
 };
 
--- a/src/replica/keeper.cpp
+++ b/src/replica/keeper.cpp
@@ -112,7 +112,7 @@
     if (copy_) return true;
     if (!peers_.fleet() || (shelf_ && !loaded_)) return false;
     copy_.emplace(options_.pace, peers_.fleet()->self().id, static_cast<Company&>(*this), random_seed());
-    guidance_.emplace(*copy_, peers_.fleet()->self().id.name, options_.registry, random_seed());
+    endpoint_overrides_.emplace(*copy_, peers_.fleet()->self().id.name, options_.registry, random_seed());
     began_ = loop_.now();
     if (loaded_) {
         from_disk_ = !loaded_->entries.empty();
@@ -138,9 +138,9 @@
         }
     }
     std::erase_if(roster_, [now](const auto& entry) { return entry.second + kMayReturn < now; });
-    if (on_guide_) {
-        for (const std::string& uid : guidance_->due(wall_now()))
-            on_guide_(uid, guidance_->of(uid, wall_now(), live()));
+    if (on_endpoint_override_) {
+        for (const std::string& uid : endpoint_overrides_->take_expired(wall_now()))
+            on_endpoint_override_(uid, endpoint_overrides_->of(uid, wall_now(), live()));
     }
 }
 
@@ -155,8 +155,8 @@
     if (!copy_ || std::exchange(pumping_, true)) return;
     const Time now = loop_.now();
     if (copy_->next() <= now) copy_->tick(now, wall_now());
-    if (const auto due = guidance_->next(); due && *due <= now) {
-        for (Write& write : guidance_->writes(now, wall_now()))
+    if (const auto due = endpoint_overrides_->next(); due && *due <= now) {
+        for (Write& write : endpoint_overrides_->writes(now, wall_now()))
             copy_->write(now, wall_now(), std::move(write));
         copy_->tick(now, wall_now());  // what is new goes out at once
     }
@@ -182,13 +182,13 @@
             if (outcomes_.size() > kMostOutcomes) outcomes_.erase(outcomes_.begin());
         });
     }
-    guide_all(changes);
+    notify_endpoint_overrides(changes);
     if (copy_->caught_up() && !std::exchange(told_caught_up_, true))
         tell(Event::StateCaughtUp, fmt::format("state: caught up, {} entries", copy_->size()),
              {{"ms", std::to_string((loop_.now() - began_) / 1ms)}});
     pumping_ = false;
     Time when = copy_->next();
-    if (const auto due = guidance_->next()) when = std::min(when, *due);
+    if (const auto due = endpoint_overrides_->next()) when = std::min(when, *due);
     tick_.set(std::max(when, now), [this] { pump(); });
 }
 
@@ -230,33 +230,34 @@
     }
 }
 
-void Keeper::guide_all(const std::set<Name>& names) {
-    if (on_convicted_) {
+void Keeper::notify_endpoint_overrides(const std::set<Name>& names) {
+    if (on_ejected_by_others_) {
         std::set<std::string> accused;
         for (const Name& name : names) {
             if (name.table == "verdicts") accused.insert(name.key.substr(0, name.key.rfind('/')));
         }
         for (const std::string& uid : accused) {
-            if (guidance_->convicted(uid, wall_now(), live())) on_convicted_(uid);
+            if (endpoint_overrides_->ejected_by_others(uid, wall_now(), live())) on_ejected_by_others_(uid);
         }
     }
-    if (!on_guide_) return;
+    if (!on_endpoint_override_) return;
     std::set<std::string> uids;
     for (const Name& name : names) {
-        if (auto uid = Guidance::endpoint_of(name)) uids.insert(std::move(*uid));
+        if (auto uid = EndpointOverrides::endpoint_of(name)) uids.insert(std::move(*uid));
     }
-    for (const std::string& uid : uids) on_guide_(uid, guidance_->of(uid, wall_now(), live()));
+    for (const std::string& uid : uids)
+        on_endpoint_override_(uid, endpoint_overrides_->of(uid, wall_now(), live()));
 }
 
 void Keeper::ejected(const std::string& uid, std::uint32_t failed) {
     if (!begin() || uid.size() + 1 + copy_->self().name.size() > kMostKey) return;
-    copy_->write(loop_.now(), wall_now(), guidance_->verdict(uid, failed, wall_now()));
+    copy_->write(loop_.now(), wall_now(), endpoint_overrides_->verdict(uid, failed, wall_now()));
     pump();
 }
 
 void Keeper::drained(const std::string& uid, const Drain& drain) {
     if (!begin() || uid.size() + 2 > kMostKey) return;
-    guidance_->drained(uid, drain, loop_.now());
+    endpoint_overrides_->drained(uid, drain, loop_.now());
     pump();
 }
 
--- a/src/replica/keeper.h
+++ b/src/replica/keeper.h
@@ -1,5 +1,5 @@
 // This sidecar's copy of the shared state on the loop: its time, its links, its operators' calls, and what it
-// says of endpoints. What is decided is replica::Replica's and replica::Guidance's.
+// says of endpoints. What is decided is replica::Replica's and replica::EndpointOverrides's.
 #pragma once
 
 #include <deque>
@@ -27,12 +27,14 @@
            Counters& counters);
     ~Keeper() override;
 
-    /// Called for endpoints whose guide may have changed.
-    void on_guide(std::function<void(const std::string& uid, const Guide&)> call) {
-        on_guide_ = std::move(call);
+    /// Called for endpoints of which something else may hold than before.
+    void on_endpoint_override(std::function<void(const std::string& uid, const EndpointOverride&)> call) {
+        on_endpoint_override_ = std::move(call);
     }
     /// Called for endpoints that enough others have ejected.
-    void on_convicted(std::function<void(const std::string& uid)> call) { on_convicted_ = std::move(call); }
+    void on_ejected_by_others(std::function<void(const std::string& uid)> call) {
+        on_ejected_by_others_ = std::move(call);
+    }
     /// This sidecar has ejected it, after so many failures.
     void ejected(const std::string& uid, std::uint32_t failed);
     /// This sidecar's discovery says so.
@@ -58,7 +60,7 @@
     void kept(std::uint64_t seq);
     void keep_all();
     void absorb(ShelfLink::Loaded&& loaded);
-    void guide_all(const std::set<Name>& names);
+    void notify_endpoint_overrides(const std::set<Name>& names);
     std::string put(std::string_view words, bool deleted);
     std::string tables() const;
     std::string entries(const std::string& table, bool conflicts) const;
@@ -70,9 +72,9 @@
     const Options& options_;
     peers::Peers& peers_;
     std::optional<Replica> copy_;
-    std::optional<Guidance> guidance_;
-    std::function<void(const std::string&, const Guide&)> on_guide_;
-    std::function<void(const std::string&)> on_convicted_;
+    std::optional<EndpointOverrides> endpoint_overrides_;
+    std::function<void(const std::string&, const EndpointOverride&)> on_endpoint_override_;
+    std::function<void(const std::string&)> on_ejected_by_others_;
     std::map<std::string, Time> roster_;  ///< names, with when they were last alive
     std::map<std::uint64_t, Replica::Outcome> outcomes_;
     std::optional<ShelfLink> shelf_;
--- a/tests/replica/replica_test.cpp
+++ b/tests/replica/replica_test.cpp
@@ -28,7 +28,7 @@
     StateModel model(of(members, seed));
     model.start_all();
     model.run_for(1s);
-    std::vector<replica::Guidance> witnesses;
+    std::vector<replica::EndpointOverrides> witnesses;
     witnesses.reserve(members);
     for (std::size_t i = 0; i < members; ++i)
         witnesses.emplace_back(model.copy(i), "n" + std::to_string(i), kRegistry, seed * members + i);
@@ -45,7 +45,7 @@
 }
 
 // What one witness writes may end what another has written at the same place.
-TEST(Guidance, ADrainIsLearntWhereWitnessesWriteAtTheSamePlaceAtOnce) {
+TEST(EndpointOverrides, ADrainIsLearntWhereWitnessesWriteAtTheSamePlaceAtOnce) {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
         EXPECT_TRUE(drain_is_learnt(3, seed)) << "two witnesses, seed " << seed;
         EXPECT_TRUE(drain_is_learnt(4, seed)) << "three witnesses, seed " << seed;
--- a/tools/emulator/verdicts.cpp
+++ b/tools/emulator/verdicts.cpp
@@ -47,7 +47,7 @@
     Counters counters;
     struct Sidecar {
         std::unique_ptr<outlier::OutlierPolicy> policy;
-        std::unique_ptr<replica::Guidance> guidance;
+        std::unique_ptr<replica::EndpointOverrides> endpoint_overrides;
         std::vector<EndpointId> to_tell;
     };
     std::vector<Sidecar> sidecars(words.sidecars);
@@ -62,14 +62,14 @@
         Sidecar& s = sidecars[i];
         s.policy = std::make_unique<outlier::OutlierPolicy>(std::make_unique<NoModule>(), outlier::Options{},
                                                             counters);
-        s.guidance =
-            std::make_unique<replica::Guidance>(model.copy(i), model.copy(i).self().name, "", seed + i);
+        s.endpoint_overrides = std::make_unique<replica::EndpointOverrides>(
+            model.copy(i), model.copy(i).self().name, "", seed + i);
         s.policy->on_ejected([&s](EndpointId id, std::uint32_t) { s.to_tell.push_back(id); });
         s.policy->handle(model.now(), decision::Discovered{decision::Discovered::Kind::Full, list}, ignored);
     }
     const auto tell = [&](std::size_t i, std::uint32_t endpoint) {
         model.copy(i).write(model.now(), model.wall(i),
-                            sidecars[i].guidance->verdict(uid_of(endpoint), 3, model.wall(i)));
+                            sidecars[i].endpoint_overrides->verdict(uid_of(endpoint), 3, model.wall(i)));
         model.copy(i).tick(model.now(), model.wall(i));
         model.run_for(Duration{});
     };
@@ -104,7 +104,8 @@
                 const std::size_t seen = endpoint == kBad ? verdicts : 0;
                 const bool news =
                     endpoint == kSound ? step % 100 == 1 : std::exchange(warned[i], seen) != seen;
-                if (news && s.guidance->convicted(uid_of(endpoint), model.wall(i), words.sidecars))
+                if (news &&
+                    s.endpoint_overrides->ejected_by_others(uid_of(endpoint), model.wall(i), words.sidecars))
                     s.policy->warn(EndpointId{endpoint});
             }
         }
