--- a/tests/ledger/ledger_process_test.cpp
+++ b/tests/ledger/ledger_process_test.cpp
@@ -14,10 +14,12 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "standins/scripted_peers.h"
@@ -124,13 +126,12 @@
 }
 
 TEST_F(Ledger, WhatWasOpenWhenTheSidecarDiedPossiblyRan) {
-    {
-        Sidecar sidecar(platform, own(directory));
-        Peer client = sidecar.client();
-        client.send(debit("r1"));
-        Peer at_endpoint = endpoint.accept();
-        at_endpoint.receive();
-    }  // killed here, while the endpoint has it
+    std::optional<Sidecar> killed(std::in_place, platform, own(directory));
+    Peer client = killed->client();
+    client.send(debit("r1"));
+    Peer at_endpoint = endpoint.accept();
+    at_endpoint.receive();
+    killed.reset();  // while the endpoint's connection and the client's are open
     Sidecar next(platform, own(directory));
     next.port();
     EXPECT_FALSE(has(find("r1"), "never ran")) << find("r1");
