--- a/review/lib/peers.py
+++ b/review/lib/peers.py
@@ -31,16 +31,24 @@
     return None
 
 
+def read_exactly(stream, size):
+    """Raises ValueError if the stream ends before."""
+    data = stream.read(size)
+    if len(data) < size:
+        raise ValueError("a body was cut short")
+    return data
+
+
 def read_body(stream, fields):
     length = field(fields, "Content-Length")
     if length is not None:
-        return stream.read(int(length))
+        return read_exactly(stream, int(length))
     if (field(fields, "Transfer-Encoding") or "").lower() != "chunked":
         return b""
     body = b""
     while True:
         size = int(stream.readline().split(b";")[0], 16)
-        piece = stream.read(size)
+        piece = read_exactly(stream, size)
         stream.readline()
         if size == 0:
             return body
@@ -112,6 +120,10 @@
 
     def close(self):
         self.ended = True
+        try:
+            self.listener.shutdown(socket.SHUT_RDWR)  # wakes accept()
+        except OSError:
+            pass
         self.listener.close()
 
 
