--- a/review/lib/peers.py
+++ b/review/lib/peers.py
@@ -95,10 +95,13 @@
                     if head is None:
                         return
                     body = read_body(stream, head[1])
-                    connection.sendall(self.answer(head[0], head[1], body))
+                    self.send_answer(connection, self.answer(head[0], head[1], body))
             except (OSError, ValueError):
                 return
 
+    def send_answer(self, connection, answer):
+        connection.sendall(answer)
+
     def answer(self, line, fields, body):
         attempt = field(fields, "Attempt-Id")
         back = f"Attempt-Id: {attempt}\r\n" if attempt else ""
