--- a/review/lib/peers.py
+++ b/review/lib/peers.py
@@ -117,10 +117,13 @@
         self.mesh.record.write(f"endpoint {self.identity} ({self.service}) runs {attempt}: {line}; "
                                + "; ".join(f"{n}: {field(fields, n)}" for n in ("Tenant-Name", "Caller-Service")))
         time.sleep(self.work_s)
-        text = f"done {attempt} by {self.identity}"
+        text = self.text_of(line, attempt)
         return (f"HTTP/1.1 200 OK\r\n{back}Server-Seal: seal-{self.identity}-{attempt}\r\n"
                 f"Content-Length: {len(text)}\r\n\r\n{text}").encode()
 
+    def text_of(self, line, attempt):
+        return f"done {attempt} by {self.identity}: {line}"
+
     def close(self):
         self.ended = True
         try:
