--- a/review/rig-2.h
+++ b/review/rig-2.h
@@ -173,20 +173,22 @@
     return "";
 }
 
-/// Reads one message with a Content-Length, with chunks, or without a body. `buffer` keeps what follows it.
-inline Message read_message(int fd, std::string& buffer) {
+/// Appends what has come to `buffer`. Returns how the connection ended, Complete while it has not.
+inline Message::End read_more(int fd, std::string& buffer) {
+    std::array<char, 16384> bytes{};
+    const auto n = recv(fd, bytes.data(), bytes.size(), 0);
+    if (n > 0) {
+        buffer.append(bytes.data(), static_cast<std::size_t>(n));
+        return Message::End::Complete;
+    }
+    const bool late = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return n == 0 ? Message::End::Cut : late ? Message::End::Timeout : Message::End::Reset;
+}
+
+/// Reads the head of a message. `buffer` keeps what follows it.
+inline Message read_head(int fd, std::string& buffer) {
     Message message;
-    const auto more = [&]() -> bool {
-        std::array<char, 16384> bytes{};
-        const auto n = recv(fd, bytes.data(), bytes.size(), 0);
-        if (n > 0) {
-            buffer.append(bytes.data(), static_cast<std::size_t>(n));
-            return true;
-        }
-        const bool late = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        message.end = n == 0 ? Message::End::Cut : late ? Message::End::Timeout : Message::End::Reset;
-        return false;
-    };
+    const auto more = [&] { return (message.end = read_more(fd, buffer)) == Message::End::Complete; };
     std::size_t head_end = 0;
     while ((head_end = buffer.find("\r\n\r\n")) == std::string::npos) {
         if (!more()) return message;
@@ -196,15 +198,22 @@
     if (head_end > line_end) message.head = buffer.substr(line_end + 2, head_end - line_end - 2);
     buffer.erase(0, head_end + 4);
     if (message.first_line.starts_with("HTTP/")) message.status = std::atoi(message.first_line.c_str() + 9);
+    message.end = Message::End::Complete;
+    return message;
+}
+
+/// Reads the body after the head: with a Content-Length, in chunks, or none.
+inline void read_body(int fd, std::string& buffer, Message& message) {
+    const auto more = [&] { return (message.end = read_more(fd, buffer)) == Message::End::Complete; };
     if (strcasecmp(message.value("Transfer-Encoding").c_str(), "chunked") == 0) {
         for (;;) {
             std::size_t size_end = 0;
             while ((size_end = buffer.find("\r\n")) == std::string::npos) {
-                if (!more()) return message;
+                if (!more()) return;
             }
             const auto size = std::strtoul(buffer.c_str(), nullptr, 16);
             while (buffer.size() < size_end + 2 + size + 2) {
-                if (!more()) return message;
+                if (!more()) return;
             }
             message.body.append(buffer, size_end + 2, size);
             buffer.erase(0, size_end + 2 + size + 2);
@@ -215,13 +224,18 @@
         while (buffer.size() < size) {
             if (!more()) {
                 message.body = buffer;
-                return message;
+                return;
             }
         }
         message.body = buffer.substr(0, size);
         buffer.erase(0, size);
     }
     message.end = Message::End::Complete;
+}
+
+inline Message read_message(int fd, std::string& buffer) {
+    Message message = read_head(fd, buffer);
+    if (message.complete()) read_body(fd, buffer, message);
     return message;
 }
 
@@ -260,15 +274,19 @@
     };
     /// Answers the request on `fd`; returns false to close the connection.
     using Handler = std::function<bool(int fd, const Run& run)>;
+    /// Called with the head of a request, before its body is read. Returns true if it has dealt with the
+    /// request; the connection is closed then.
+    using EarlyHandler = std::function<bool(int fd, const Run& run, std::string& received)>;
 
     Endpoint(std::string ip, std::string service, std::string id, std::string zone, int slots,
-             Handler handler)
+             Handler handler, EarlyHandler early = {})
         : ip_(std::move(ip)),
           service_(std::move(service)),
           id_(std::move(id)),
           zone_(std::move(zone)),
           slots_(slots),
           handler_(std::move(handler)),
+          early_(std::move(early)),
           listener_(listen_at(ip_, kApp)) {
         std::thread([this] { accept_loop(); }).detach();
         std::thread([this] { beat_loop(); }).detach();
@@ -296,12 +314,15 @@
         std::string buffer;
         for (;;) {
             Run run;
-            run.request = read_message(fd, buffer);
+            run.request = read_head(fd, buffer);
             if (!run.request.complete()) break;
             const std::string& line = run.request.first_line;
             const auto space = line.find(' ');
             run.method = line.substr(0, space);
             run.path = line.substr(space + 1, line.rfind(' ') - space - 1);
+            if (early_ && run.path != "/health" && early_(fd, run, buffer)) break;
+            read_body(fd, buffer, run.request);
+            if (!run.request.complete()) break;
             if (run.path == "/health") {
                 if (!send_all(fd, "HTTP/1.1 200 OK\r\nInstance-Id: " + id_ + "\r\nContent-Length: 0\r\n\r\n"))
                     break;
@@ -337,6 +358,7 @@
     const std::string ip_, service_, id_, zone_;
     const int slots_;
     const Handler handler_;
+    const EarlyHandler early_;
     const int listener_;
 };
 
