--- a/review/rig-2.h
+++ b/review/rig-2.h
@@ -429,8 +429,11 @@
         processes_.erase(name);
     }
     /// Sends the configuration, as the operator does, until it is acknowledged.
-    void put_config(const std::string& body, milliseconds most = 20s) {
-        const std::string request = request_text("POST", "/v1/configuration/replace", "control",
+    void put_config(const std::string& body) { send_config("replace", body); }
+    /// The same with a change of items by name.
+    void change_config(const std::string& body) { send_config("modify", body); }
+    void send_config(const std::string& what, const std::string& body, milliseconds most = 20s) {
+        const std::string request = request_text("POST", "/v1/configuration/" + what, "control",
                                                  "Content-Type: application/json\r\n", body);
         const auto end = Clock::now() + most;
         for (int number = 1; Clock::now() < end; number = number % 3 + 1) {
