Quota: no burst is granted anew after controllers or proxies restart

Cause: a lease after a time without one filled the bucket to half of its burst, whatever had been spent; a leader that had just started divided the rate among the few proxies that it had heard, beside the fallback of the others; a new bucket was full.

Change: tokens come by time alone. Registrations tell how many proxies the sender knows, and a leader reserves for those that it does not hear and raises no share before it hears all or its predecessor's leases have expired.

--- a/src/controller/quota_service.cpp
+++ b/src/controller/quota_service.cpp
@@ -8,7 +8,7 @@
 
 rpc::RegisterResponse QuotaService::respond(Time now, const rpc::RegisterRequest& request) {
     const std::string& node = request.registration.node;
-    allocator_.report_demand(now, node, request.applied_response, request.demands);
+    allocator_.report_demand(now, node, request.applied_response, request.demands, request.known_proxies);
 
     const registry::Registry& registry = sources_.registry;
     rpc::RegisterResponse response;
--- a/src/proxy/controller_client.cpp
+++ b/src/proxy/controller_client.cpp
@@ -70,8 +70,10 @@
                                              const std::vector<quota::QuotaDemand>& demands) {
     // By this process's steady clock. Connections end with the process, so no other one's time comes back.
     const auto sent_at = static_cast<std::uint64_t>(loop_.now().time_since_epoch().count());
+    const auto known_proxies = static_cast<std::uint32_t>(view_.entries().size());
     controller.client->send(rpc::RegisterRequest{observer_.registration(), demands,
-                                                 controller.applied_response, config_version_, sent_at});
+                                                 controller.applied_response, config_version_, sent_at,
+                                                 known_proxies});
 }
 
 const std::vector<quota::QuotaDemand>& ControllerClient::current_demands() {
--- a/src/quota/quota_allocator.cpp
+++ b/src/quota/quota_allocator.cpp
@@ -15,6 +15,8 @@
 // Tenants that shares are kept of, and bytes of a tenant's name; both bound the memory.
 constexpr std::size_t kMaxTenants = 20000;
 constexpr std::size_t kMaxTenantNameBytes = 256;
+// No report counts as more proxies than the registry holds at most.
+constexpr std::size_t kMaxProxies = 20000;
 // Against a division by zero where nobody wants anything. Requests per second.
 constexpr double kMinTotalRate = 1e-9;
 
@@ -69,8 +71,9 @@
 }
 
 void QuotaAllocator::report_demand(Time now, const std::string& proxy, std::uint64_t acknowledged,
-                                   const std::vector<QuotaDemand>& demands) {
+                                   const std::vector<QuotaDemand>& demands, std::size_t known_proxies) {
     if (listening_since_ == Time{}) listening_since_ = now;
+    reported_proxies_ = std::max(reported_proxies_, std::min(known_proxies, kMaxProxies));
     for (auto& [tenant, shares] : shares_by_tenant_) {
         if (const auto it = shares.find(proxy); it != shares.end()) it->second.wanted_rate = 0;
     }
@@ -83,10 +86,28 @@
     forget_inactive(now);
 }
 
-/// Whether the leases of the previous leader are known well enough to raise shares.
-bool QuotaAllocator::has_settled(Time now, Time leading_since) const {
-    return now - leading_since >= options_.settle_after_election &&
-           now - listening_since_ >= options_.min_listening_time;
+/// A registry is empty when its controller starts. The proxies outlive the controllers and know each other.
+QuotaAllocator::FleetSize QuotaAllocator::fleet_size(Time now, std::size_t registered,
+                                                     std::size_t expired) const {
+    const std::size_t heard = registered - std::min(expired, registered);
+    const bool counts_reported = now - listening_since_ < options_.reserve_reported_for;
+    const std::size_t known = counts_reported ? std::max(registered, reported_proxies_) : registered;
+    return {known, known - heard};
+}
+
+/// Whether the leases of the previous leader are known, or have expired, so that shares may be raised.
+bool QuotaAllocator::has_settled(Time now, Time leading_since, const FleetSize& fleet) const {
+    const Duration leading_for = now - leading_since;
+    if (leading_for < options_.settle_after_election) return false;
+    if (now - listening_since_ < options_.min_listening_time) return false;
+    return fleet.unheard == 0 || leading_for >= options_.lease;
+}
+
+/// The quota without what is reserved for proxies that are not heard.
+Quota QuotaAllocator::available_quota(const Quota& quota, const FleetSize& fleet) const {
+    const double reserved =
+        options_.unheard_share * static_cast<double>(fleet.unheard) / as_divisor(fleet.known);
+    return {quota.rate_per_s * (1 - reserved), quota.burst * (1 - reserved)};
 }
 
 QuotaAllocator::TenantTotals QuotaAllocator::totals(Time now, const Shares& shares, const std::string& proxy,
@@ -116,13 +137,11 @@
 
 std::vector<QuotaLease> QuotaAllocator::allocate(Time now, Time leading_since, const std::string& proxy,
                                                  const std::map<std::string, Quota>& quotas,
-                                                 std::size_t proxies, std::size_t unheard) {
+                                                 std::size_t registered, std::size_t expired) {
     std::vector<QuotaLease> leases;
     ++response_number_;
-    const bool settled = has_settled(now, leading_since);
-    const double reserved_fraction =
-        proxies == 0 ? 0.0
-                     : options_.unheard_share * static_cast<double>(unheard) / static_cast<double>(proxies);
+    const FleetSize fleet = fleet_size(now, registered, expired);
+    const bool settled = has_settled(now, leading_since, fleet);
     const auto lease_ms = static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(options_.lease).count());
     for (const auto& [tenant, quota] : quotas) {
@@ -134,8 +153,7 @@
         if (own == shares.end()) continue;
         Share& share = own->second;
 
-        const Quota available{quota.rate_per_s * (1 - reserved_fraction),
-                              quota.burst * (1 - reserved_fraction)};
+        const Quota available = available_quota(quota, fleet);
         const TenantTotals total = totals(now, shares, proxy, available);
         const double fair = fair_rate(share.wanted_rate, total.wanted_rate, total.active_proxies, available);
         const double unleased = std::max(0.0, available.rate_per_s - total.outstanding_elsewhere);
--- a/src/quota/quota_allocator.h
+++ b/src/quota/quota_allocator.h
@@ -2,7 +2,9 @@
 //
 // Every controller takes the proxies' reports, only the leader allocates. A new leader therefore already
 // knows the demand; what its predecessor granted it learns from the proxies, which report the leases that
-// they hold.
+// they hold, and how many proxies there are. A controller that has just started has heard few of them: it
+// reserves a share for each of the others, and raises nobody's share until it has heard all or until the
+// leases of its predecessor have expired.
 //
 // The invariant: for each tenant, the sum of what all proxies may use at any time stays at or below the rate.
 // Proxies do not confirm leases by a message of their own, so a share is reckoned at the larger of the old
@@ -30,8 +32,9 @@
         /// as long.
         Duration lease = 2600ms;
         /// After an election, for this long no share is raised above what the proxy reports to hold: the
-        /// predecessor's leases become known by those reports. Cost: a rise in demand waits as long. A lease
-        /// that no report has named by then is a share of the rate, expires soon, and is covered by `slack`.
+        /// predecessor's leases become known by those reports. Where a proxy has not been heard, this goes on
+        /// for `lease`, after which no lease of the predecessor is valid. Cost: a rise in demand waits as
+        /// long.
         Duration settle_after_election = 200ms;
         /// The same, counted from the first report that this controller ever got. Covers one that becomes the
         /// leader just after its own start. Cost: as above.
@@ -46,11 +49,15 @@
         double overshoot = 0.1;  ///< fraction
         double slack = 20;       ///< requests
 
-        /// Fraction of an even split that is reserved for each proxy that the registry knows and whose
-        /// heartbeats have stopped: it may be cut off and serve on by its fallback. At least
+        /// Fraction of an even split that is reserved for each proxy that is known and whose heartbeats do
+        /// not come: it may be cut off and serve on by its fallback. At least
         /// QuotaLimiter::FallbackShare::after_lease. Cost: as much of the rate is not available to the
         /// others.
         double unheard_share = 0.8;
+        /// For this long after the first report a proxy counts as known if another one has reported it, even
+        /// if it never was heard here. At least QuotaLimiter::FallbackShare::after_lease_for. Cost: a share
+        /// stays reserved for proxies that have ended together with the controllers.
+        Duration reserve_reported_for = 20s;
         /// Fraction of what the rule allows beyond rate and burst that is given out as additional burst.
         /// Cost: the rest is the margin for proxies on their fallback and for chance.
         double usable_slack = 0.7;
@@ -59,20 +66,21 @@
 
     /// Takes a proxy's report. `proxy` names its process (node and incarnation), `acknowledged` is the number
     /// of the last response of this allocator that the proxy has applied (0: none). Tenants that are not in
-    /// `demands` have no demand at this proxy any more.
+    /// `demands` have no demand at this proxy any more. `known_proxies`: how many the proxy knows to exist
+    /// (0: it does not say).
     void report_demand(Time now, const std::string& proxy, std::uint64_t acknowledged,
-                       const std::vector<QuotaDemand>& demands);
+                       const std::vector<QuotaDemand>& demands, std::size_t known_proxies);
 
     /// The number of the response that allocate() returned last. To be sent along with it.
     [[nodiscard]] std::uint64_t response_number() const { return response_number_; }
 
     /// The leader's response to a report: a lease for each tenant that the proxy reported, is limited by
     /// `quotas`, and has something left. Starts a new response number.
-    /// `leading_since`: when this controller became the leader. `proxies`: how many the registry knows, among
-    /// them `unheard` whose registry leases have expired.
+    /// `leading_since`: when this controller became the leader. `registered`: how many proxies the registry
+    /// knows, among them `expired` whose registry leases have expired.
     [[nodiscard]] std::vector<QuotaLease> allocate(Time now, Time leading_since, const std::string& proxy,
                                                    const std::map<std::string, Quota>& quotas,
-                                                   std::size_t proxies, std::size_t unheard);
+                                                   std::size_t registered, std::size_t expired);
 
   private:
     /// One proxy's part of one tenant. Rates in requests per second.
@@ -93,9 +101,17 @@
         std::size_t active_proxies = 0;    // that reported lately
     };
 
+    /// The proxies that serve or may serve, whether this controller hears them or not.
+    struct FleetSize {
+        std::size_t known = 0;
+        std::size_t unheard = 0;  // among `known`: those whose heartbeats do not come
+    };
+
     static void update_share(Time now, Share& share, std::uint64_t acknowledged, const QuotaDemand& demand);
     void forget_inactive(Time now);
-    [[nodiscard]] bool has_settled(Time now, Time leading_since) const;
+    [[nodiscard]] FleetSize fleet_size(Time now, std::size_t registered, std::size_t expired) const;
+    [[nodiscard]] bool has_settled(Time now, Time leading_since, const FleetSize& fleet) const;
+    [[nodiscard]] Quota available_quota(const Quota& quota, const FleetSize& fleet) const;
     [[nodiscard]] TenantTotals totals(Time now, const Shares& shares, const std::string& proxy,
                                       const Quota& available) const;
     [[nodiscard]] double burst_for(double rate, const Quota& available, std::size_t active_proxies) const;
@@ -103,6 +119,7 @@
     Options options_;
     std::uint64_t response_number_ = 0;
     Time listening_since_{};
+    std::size_t reported_proxies_ = 0;  // the most that any proxy has reported to know
     std::map<std::string, Shares> shares_by_tenant_;
 };
 
--- a/src/quota/quota_limiter.cpp
+++ b/src/quota/quota_limiter.cpp
@@ -18,8 +18,9 @@
 // two reports in quick succession do not show a rate of a single request as a high one.
 constexpr double kFirstReportInterval = 1.0;
 constexpr double kMinReportInterval = 0.05;
-// A new lease after a time without one fills the bucket to this fraction of its burst.
-constexpr double kInitialFill = 0.5;
+// The most requests that a new bucket admits at once. What the tenant has spent lately, here before a restart
+// or elsewhere, is not known then.
+constexpr double kMaxInitialTokens = 1;
 
 double seconds(Duration time) {
     return std::chrono::duration<double>(time).count();
@@ -27,14 +28,17 @@
 
 }  // namespace
 
+/// `burst_share`: this proxy's part of the tenant's burst, in requests.
+void QuotaLimiter::start_if_new(Time now, Bucket& bucket, double burst_share) {
+    if (bucket.refilled_at != Time{}) return;
+    bucket.tokens = std::min(kMaxInitialTokens, burst_share);
+    bucket.refilled_at = now;
+}
+
 void QuotaLimiter::refill(Time now, Bucket& bucket) {
     const bool is_leased = now < bucket.lease_expires_at;
     const double rate = is_leased ? bucket.leased_rate : bucket.fallback_rate;
     const double burst = is_leased ? std::max(bucket.leased_burst, 1.0) : bucket.fallback_burst;
-    if (bucket.refilled_at == Time{}) {
-        bucket.tokens = burst;
-        bucket.refilled_at = now;
-    }
     bucket.tokens = std::min(burst, bucket.tokens + rate * seconds(now - bucket.refilled_at));
     bucket.refilled_at = now;
 }
@@ -51,6 +55,7 @@
 bool QuotaLimiter::admit(Time now, const std::string& tenant, const Quota& quota, std::size_t proxies) {
     if (quota.rate_per_s <= 0) return true;
     Bucket& bucket = buckets_[tenant];
+    start_if_new(now, bucket, quota.burst / static_cast<double>(std::max(proxies, kMinAssumedProxies)));
     update_fallback(now, bucket, quota, proxies);
     refill(now, bucket);
     bucket.requests_since_report += 1;
@@ -65,12 +70,11 @@
         const Time expires_at = requested_at + std::chrono::milliseconds(lease.lease_ms);
         if (expires_at <= now) continue;
         Bucket& bucket = buckets_[lease.tenant];
+        start_if_new(now, bucket, lease.burst);
         refill(now, bucket);
-        const bool had_none = now >= bucket.lease_expires_at;
         bucket.leased_rate = lease.rate_per_s;
         bucket.leased_burst = std::max(lease.burst, 1.0);
         bucket.lease_expires_at = expires_at;
-        if (had_none) bucket.tokens = std::max(bucket.tokens, bucket.leased_burst * kInitialFill);
     }
 }
 
--- a/src/quota/quota_limiter.h
+++ b/src/quota/quota_limiter.h
@@ -1,7 +1,8 @@
 // The proxy's side of the quota scheme (see quota.h): one token bucket per tenant.
 //
-// The bucket fills at the leased rate while the lease is valid and at the fallback rate otherwise. It holds
-// at most the burst, and admitting a request takes one token.
+// The bucket fills at the leased rate while the lease is valid and at the fallback rate otherwise, and in no
+// other way: a lease brings no tokens, since those that it would bring may have been spent under the lease
+// before. It holds at most the burst, and admitting a request takes one token.
 //
 // Pure: no I/O and no clock, the caller passes the steady time. Not thread safe; one event loop owns it.
 #pragma once
@@ -68,6 +69,7 @@
         double fallback_burst = 1;
     };
     void update_fallback(Time now, Bucket& bucket, const Quota& quota, std::size_t proxies) const;
+    static void start_if_new(Time now, Bucket& bucket, double burst_share);
     static void refill(Time now, Bucket& bucket);
     static QuotaDemand report(Time now, const std::string& tenant, Bucket& bucket, double interval_s);
 
--- a/src/rpc/messages.cpp
+++ b/src/rpc/messages.cpp
@@ -51,6 +51,7 @@
     out.setAppliedResponse(request.applied_response);
     out.setConfigVersion(request.config_version);
     out.setSentAt(request.sent_at);
+    out.setKnownProxies(request.known_proxies);
 }
 
 void write_message(wire::Envelope::Builder envelope, const RegisterResponse& response) {
@@ -112,8 +113,12 @@
 }
 
 RegisterRequest read_message(wire::RegisterRequest::Reader in) {
-    return {read(in.getRegistration()), read_list(in.getDemands()), in.getAppliedResponse(),
-            in.getConfigVersion(), in.getSentAt()};
+    return {read(in.getRegistration()),
+            read_list(in.getDemands()),
+            in.getAppliedResponse(),
+            in.getConfigVersion(),
+            in.getSentAt(),
+            in.getKnownProxies()};
 }
 
 RegisterResponse read_message(wire::RegisterResponse::Reader in) {
--- a/src/rpc/messages.h
+++ b/src/rpc/messages.h
@@ -32,6 +32,8 @@
     std::uint64_t applied_response = 0;
     std::uint32_t config_version = 0;  ///< of the configuration that the proxy serves by
     std::uint64_t sent_at = 0;         ///< by the proxy's steady clock; the response returns it
+    /// Proxies that this one knows to exist, itself included; 0: a release that does not say.
+    std::uint32_t known_proxies = 0;
 };
 
 /// Controller to proxy: the answer to a RegisterRequest.
--- a/src/rpc/wire.capnp
+++ b/src/rpc/wire.capnp
@@ -99,6 +99,7 @@
   appliedResponse @2 :UInt64;
   configVersion @3 :UInt32;
   sentAt @4 :UInt64;
+  knownProxies @5 :UInt32;  # 0: not said
 }
 
 # Controller to proxy: the answer to each RegisterRequest. Only the leader puts leases into it.
--- a/tests/mesh/golden_test.cpp
+++ b/tests/mesh/golden_test.cpp
@@ -357,6 +357,18 @@
     CHECK(read.applied_response == 103);
     CHECK(read.config_version == 104);
     CHECK(read.sent_at == 105);
+    CHECK(read.known_proxies == 0);  // programs before did not say it
+}
+
+TEST_CASE("golden rpc: register request with the number of known proxies") {
+    const rpc::RegisterRequest expected{kReady, {{"tenant-a", 1.25, 2.5, 101}}, 103, 104, 105, 106};
+    const auto read = read_rpc("rpc-register-request-2026-12-04.bin", expected);
+    check_ready(read.registration);
+    CHECK(read.demands.size() == 1);
+    CHECK(read.applied_response == 103);
+    CHECK(read.config_version == 104);
+    CHECK(read.sent_at == 105);
+    CHECK(read.known_proxies == 106);
 }
 
 TEST_CASE("golden rpc: register response with quota leases") {
--- a/tests/mesh/quota_test.cpp
+++ b/tests/mesh/quota_test.cpp
@@ -71,7 +71,8 @@
         if (random.unit() < 0.1) return;  // the report is lost
         const auto demands = proxies[i].demands(now, {"t"});
         for (std::size_t c = 0; c < controllers.size(); ++c) {
-            controllers[c].report_demand(now, proxy_name(i), c == leader ? acknowledged[i] : 0, demands);
+            controllers[c].report_demand(now, proxy_name(i), c == leader ? acknowledged[i] : 0, demands,
+                                         kProxies);
         }
         if (now < leading_since) return;
         const auto leases =
@@ -138,7 +139,8 @@
                 by_partitioned += partitioned;
             }
             if (!sends_heartbeat(step, i) || partitioned) continue;
-            leader.report_demand(now, proxy_name(i), acknowledged[i], proxies[i].demands(now, {"t"}));
+            leader.report_demand(now, proxy_name(i), acknowledged[i], proxies[i].demands(now, {"t"}),
+                                 kProxies);
             proxies[i].apply_leases(
                 now, leader.allocate(now, leading_since, proxy_name(i), kQuotas, kProxies, unheard), now);
             acknowledged[i] = leader.response_number();
