Upload: an early failure of an endpoint no longer counts as never run

Cause: the HTTP client took an attempt that ended before its last byte for one that never ran.

In the mesh what comes in the middle of a body is read as an answer; a close, a failed write and the deadline mean that the request may have run.

--- a/src/core/endpoint_client.h
+++ b/src/core/endpoint_client.h
@@ -67,8 +67,9 @@
         virtual ~Attempt() = default;
         /// Stops waiting; the attempt ends as Cancelled.
         virtual void cancel() = 0;
-        /// Ends the attempt as NotSent if it cannot have run: nothing of it has been written, or the last
-        /// byte of its body has not arrived yet. Otherwise does nothing.
+        /// Ends the attempt if the endpoint does not have the whole request yet: nothing of it has been
+        /// written, or the last byte of its body has not arrived. It ends as NotSent if it cannot have run,
+        /// else as Cancelled. Otherwise does nothing.
         virtual void withdraw_if_unsent() = 0;
         /// Ends the attempt at `end`, and not before.
         virtual void set_deadline(Time end) = 0;
--- a/src/http1/endpoint_connection.cpp
+++ b/src/http1/endpoint_connection.cpp
@@ -78,13 +78,13 @@
 
 void EndpointConnection::withdraw_if_unsent() {
     if (stage_ == Stage::Connecting || (stage_ == Stage::Writing && request_arriving()))
-        end_attempt(Status::NotSent);
+        end_attempt(may_have_run() ? Status::Cancelled : Status::NotSent);
 }
 
 void EndpointConnection::set_deadline(Time end) {
     if (!done_) return;  // its outcome is known already
     deadline_timer_.set(end, [self = shared_from_this()] {
-        self->end_attempt(self->request_written() ? Status::Timeout : Status::ConnectFailed);
+        self->end_attempt(self->may_have_run() ? Status::Timeout : Status::ConnectFailed);
     });
 }
 
@@ -104,8 +104,9 @@
     return message_ && message_->rest && message_->rest->state() == Pipe::State::Open;
 }
 
-bool EndpointConnection::request_written() const {
-    return stage_ == Stage::Waiting || (stage_ == Stage::Writing && !request_arriving());
+bool EndpointConnection::may_have_run() const {
+    if (stage_ != Stage::Writing) return stage_ == Stage::Waiting;
+    return !request_arriving() || pool_.protocol_.may_run_incomplete_requests();
 }
 
 void EndpointConnection::connect() {
@@ -133,8 +134,7 @@
     reset_parser(parser_);
     outgoing_->run(socket_, shared_from_this(), [self = shared_from_this()](const error_code& error) {
         if (self->stage_ != Stage::Writing) return;
-        // Not written completely: an endpoint does not start a request before its last byte.
-        if (error) return self->end_attempt(Status::ConnectFailed);
+        if (error) return self->handle_write_error(error);
         self->stage_ = Stage::Waiting;
         if (self->message_)
             self->pool_.written(*self->message_, self->id);  // probes do not count as attempts
@@ -158,11 +158,7 @@
                                 if (error) return self->handle_read_end(error);
                                 if (self->stage_ == Stage::Idle)
                                     return self->close_idle();  // unrequested bytes
-                                // Guards against bytes that were sent before the request: an answer that
-                                // starts before its request is written completely is not an answer to it.
-                                if (self->stage_ == Stage::Writing) {
-                                    return self->handle_early_bytes(http::error::unexpected_body);
-                                }
+                                if (self->stage_ == Stage::Writing) return self->handle_early_bytes();
                                 if (self->stage_ == Stage::Waiting || self->stage_ == Stage::Streaming) {
                                     self->parse();
                                 }
@@ -177,14 +173,40 @@
     read();
 }
 
-void EndpointConnection::handle_early_bytes(const error_code& error) {
-    if (request_arriving()) return end_attempt(Status::ConnectFailed);
+void EndpointConnection::handle_early_bytes() {
+    if (request_arriving()) {
+        // The answer cannot be to a request that has not begun: the bytes belong to an earlier one.
+        if (!pool_.protocol_.may_run_incomplete_requests()) return end_attempt(Status::ConnectFailed);
+        parse();
+        if (stage_ != Stage::Writing) return;
+        const bool nothing_kept =
+            !parser_->got_some() && buffer_.size() == 0;  // an interim answer, for instance
+        if (nothing_kept) return continue_reading();
+    }
+    // Whether the request is written completely, and so how the attempt ends, is known later.
+    read_error_ = http::error::unexpected_body;
+}
+
+void EndpointConnection::handle_early_close(const error_code& error) {
+    if (request_arriving()) return end_attempt(may_have_run() ? Status::Reset : Status::ConnectFailed);
     read_error_ = error;
 }
 
+void EndpointConnection::handle_write_error(const error_code& error) {
+    const bool may_run = pool_.protocol_.may_run_incomplete_requests() && outgoing_->wrote_any();
+    if (!may_run) return end_attempt(Status::ConnectFailed);
+    write_failed_ = true;
+    stage_ = Stage::Waiting;
+    // An endpoint may answer and close without reading the rest. What it sent comes with the pending read,
+    // unless the body was broken off on this side.
+    parse();
+    const bool may_be_answered = reading_ && error != http::error::partial_message;
+    if (stage_ == Stage::Waiting && !may_be_answered) end_attempt(Status::Reset);
+}
+
 void EndpointConnection::handle_read_end(const error_code& error) {
     if (stage_ == Stage::Idle) return close_idle();
-    if (stage_ == Stage::Writing) return handle_early_bytes(error);
+    if (stage_ == Stage::Writing) return handle_early_close(error);
     if (error == asio::error::eof && parser_->got_some()) {
         error_code fault;
         parser_->put_eof(fault);
@@ -215,6 +237,8 @@
 
 void EndpointConnection::handle_complete_answer() {
     const auto status = classify();
+    // A success waits until the endpoint has the whole request.
+    if (status == Status::Ok && stage_ == Stage::Writing) return;
     if (status) return complete_attempt(*status, ends_cleanly());
     // Guards against taking a late or surplus answer to an earlier request for the answer to this one.
     pool_.skipped_.add();
@@ -225,6 +249,7 @@
 }
 
 void EndpointConnection::handle_partial_answer() {
+    if (stage_ == Stage::Writing) return;
     const auto& held = parser_->get().body();
     const auto length = parser_->content_length();
     // A long answer is streamed before it is complete: it may exceed what can be buffered, and its caller
@@ -241,7 +266,8 @@
 }
 
 bool EndpointConnection::ends_cleanly() {
-    return parser_->keep_alive() && buffer_.size() == 0 && !read_error_ && !exchanges_.full() &&
+    const bool is_written = stage_ != Stage::Writing && !write_failed_;
+    return is_written && parser_->keep_alive() && buffer_.size() == 0 && !read_error_ && !exchanges_.full() &&
            is_reusable();
 }
 
@@ -328,9 +354,9 @@
     }
     deadline_timer_.cancel();
     auto done = std::exchange(done_, nullptr);
-    release();
     result.connection_reusable = keep && pool_.may_keep(*this);
     if (result.connection_reusable) {
+        release();
         return_to_pool();
     } else {
         close();
--- a/src/http1/endpoint_connection.h
+++ b/src/http1/endpoint_connection.h
@@ -53,9 +53,8 @@
 
     /// Whether a part of the request's body has yet to arrive from the caller.
     bool request_arriving() const;
-    /// Whether the last byte of the request may have been sent. Until then the attempt has not run, since the
-    /// endpoint cannot have the whole request.
-    bool request_written() const;
+    /// Whether the endpoint may have begun to run the request, by what has been sent of it.
+    bool may_have_run() const;
 
     void connect();
     void write();
@@ -63,10 +62,12 @@
     /// Reads on, unless a read is pending or the receiver of the answer is slower.
     void continue_reading();
 
-    /// The endpoint sent bytes or closed before the request was written. If its body is still arriving, the
-    /// attempt ends at once, and never ran. Otherwise the error is kept until the write has ended, because
-    /// only then it is known whether the request was written completely.
-    void handle_early_bytes(const error_code& error);
+    /// The endpoint sent bytes before the request was written.
+    void handle_early_bytes();
+    /// The endpoint closed before the request was written, or the connection failed.
+    void handle_early_close(const error_code& error);
+    /// The request was not written completely.
+    void handle_write_error(const error_code& error);
 
     /// The endpoint closed the connection, or it failed.
     void handle_read_end(const error_code& error);
@@ -109,7 +110,10 @@
     Timer stage_timer_, deadline_timer_;
     boost::beast::flat_buffer buffer_;
     Stage stage_ = Stage::Connecting;
-    error_code read_error_;  // error of a read while the request was being written
+    // Error of a read while the request was being written, or unexpected_body if bytes came that are kept
+    // until it is written. There is no further read until then.
+    error_code read_error_;
+    bool write_failed_ = false;
     bool reading_ = false;
     int interim_count_ = 0;
     std::optional<Parser<false>> parser_;
--- a/src/http1/http.h
+++ b/src/http1/http.h
@@ -186,6 +186,8 @@
         }
         write(socket);
     }
+    /// Whether any byte was written. Known once a piece has been written or has failed.
+    bool wrote_any() const { return wrote_any_; }
     /// Whether the writer waits for more of the rest.
     bool waiting() const { return waiting_; }
     /// No callback is called after this.
@@ -205,7 +207,8 @@
     void write(Socket& socket) {
         http::async_write(socket, serializer_,
                           [self = this->shared_from_this(), owner = owner_.lock(), &socket](
-                              const error_code& error, std::size_t) {
+                              const error_code& error, std::size_t size) {
+                              self->wrote_any_ |= size > 0;
                               if (!self->done_) return;
                               if (error && error != http::error::need_buffer) return self->end(error);
                               if (!error) return self->end({});
@@ -238,6 +241,7 @@
     std::string piece_;
     std::weak_ptr<void> owner_;
     bool waiting_ = false;
+    bool wrote_any_ = false;
     std::function<void(const error_code&)> done_;
 };
 
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -89,6 +89,10 @@
                          Time end) = 0;
     /// Whether this attempt carries the body of the message.
     virtual bool carries_body(const HttpMessage&) const { return true; }
+    /// Whether an endpoint may begin to run a request before the last byte of it has arrived. If so, an
+    /// attempt that ends before that byte was written may have run, unless the endpoint says that it did not;
+    /// and an answer that comes before may be the answer to it.
+    virtual bool may_run_incomplete_requests() const { return false; }
     /// The name by which answers identify their request, for endpoints that may answer late or twice. A
     /// connection carries each name at most once: a late answer to an earlier attempt of a request would look
     /// like the answer to this one. Empty: answers do not name their request.
--- a/src/proxy/inbound_protocol.h
+++ b/src/proxy/inbound_protocol.h
@@ -62,6 +62,7 @@
 
     void prepare(http::request_header<>& head, const HttpMessage& message, EndpointId to, Time end) override;
     [[nodiscard]] std::string_view exchange_name(const HttpMessage& message) const override;
+    [[nodiscard]] bool may_run_incomplete_requests() const override { return true; }
     void prepare_probe(http::request_header<>& head) override;
     [[nodiscard]] std::optional<decision::Status> classify(const http::response_header<>& head,
                                                            const HttpMessage* message,
--- a/src/proxy/outbound_protocol.h
+++ b/src/proxy/outbound_protocol.h
@@ -102,6 +102,7 @@
 
     void prepare(http::request_header<>& head, const HttpMessage& message, EndpointId to, Time end) override;
     [[nodiscard]] bool carries_body(const HttpMessage& message) const override;
+    [[nodiscard]] bool may_run_incomplete_requests() const override { return true; }
     void prepare_probe(http::request_header<>&) override {}
     [[nodiscard]] std::optional<decision::Status> classify(const http::response_header<>& head,
                                                            const HttpMessage* message,
--- /dev/null
+++ b/tests/mesh/early_answer_test.cpp
@@ -0,0 +1,226 @@
+// Long requests whose endpoint answers, closes or falls silent while their bodies are still arriving.
+// Endpoints work on a request from its head on: only `Not-Executed` proves that one did not run.
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+
+#include "hop_world.h"
+
+using namespace martenford;
+using namespace martenford::hop_world;
+
+namespace {
+
+constexpr std::size_t kBodyBytes = 300'000;
+/// More than is buffered whole, so that the body is passed on while it arrives.
+constexpr std::size_t kSentAtOnce = 100'000;
+/// Leaves the time for another attempt.
+constexpr int kTimeoutMs = 3000;
+
+/// What an endpoint does once it has the first bytes of a body.
+enum class EarlyStep {
+    Serve,
+    Continue,
+    Respond,
+    RespondAndClose,
+    RespondAndReset,
+    Reset,
+    ReadOn,
+    RespondAfterBody
+};
+
+/// An endpoint that begins to run a request with its head.
+class UploadEndpoint {
+  public:
+    UploadEndpoint(EventLoop& loop, History& history)
+        : history_(history), listener_(loop, [this](tcp::socket socket) {
+              read_head(std::make_shared<Stream>(std::move(socket)));
+          }) {}
+    [[nodiscard]] Address address() const { return listener_.address(); }
+
+    EarlyStep step = EarlyStep::Serve;  ///< of the next request
+    std::string status = "500 Failed", fields, body = "failed";
+    std::string last_body;  ///< as far as it came, of the last request that was read to its end
+    int arrivals = 0;
+
+  private:
+    struct Stream {
+        explicit Stream(tcp::socket accepted) : socket(std::move(accepted)) {
+            parser.body_limit(1 << 20);
+            parser.eager(true);
+        }
+        tcp::socket socket;
+        boost::beast::flat_buffer buffer;
+        http::request_parser<http::string_body> parser;
+        std::string response;
+    };
+    using StreamPtr = std::shared_ptr<Stream>;
+
+    void read_head(const StreamPtr& stream) {
+        http::async_read_header(stream->socket, stream->buffer, stream->parser,
+                                [this, stream](const error_code& error, std::size_t) {
+                                    if (!error) begin(stream);
+                                });
+    }
+    void begin(const StreamPtr& stream) {
+        const std::string id(stream->parser.get()["Attempt-Id"]);
+        ++arrivals;
+        const EarlyStep now = std::exchange(step, EarlyStep::Serve);
+        const bool rejects = fields.find("Not-Executed") != std::string::npos && now != EarlyStep::Serve;
+        if (!rejects) ++history_.executions[id];
+        if (now == EarlyStep::Reset) return reset(stream->socket);
+        if (now == EarlyStep::Serve || now == EarlyStep::ReadOn || now == EarlyStep::RespondAfterBody)
+            return read_rest(stream, now);
+        if (now == EarlyStep::Continue) {
+            asio::write(stream->socket, asio::buffer(std::string("HTTP/1.1 100 Continue\r\n\r\n")));
+            return read_rest(stream, EarlyStep::Serve);
+        }
+        stream->response = response_text(status, id, fields + "Server-Seal: s\r\n", body);
+        asio::async_write(stream->socket, asio::buffer(stream->response),
+                          [this, stream, now](const error_code&, std::size_t) {
+                              if (now == EarlyStep::RespondAndReset) return reset(stream->socket);
+                              error_code ignored;
+                              if (now == EarlyStep::RespondAndClose)
+                                  stream->socket.shutdown(tcp::socket::shutdown_send, ignored);
+                              read_rest(stream, now);
+                          });
+    }
+    void read_rest(const StreamPtr& stream, EarlyStep done) {
+        http::async_read(stream->socket, stream->buffer, stream->parser,
+                         [this, stream, done](const error_code& error, std::size_t) {
+                             last_body = stream->parser.get().body();
+                             if (error || done == EarlyStep::ReadOn) return;
+                             if (done == EarlyStep::Serve) return serve(stream);
+                             stream->response = response_text(
+                                 status, std::string(stream->parser.get()["Attempt-Id"]), fields, body);
+                             asio::async_write(stream->socket, asio::buffer(stream->response),
+                                               [stream](const error_code&, std::size_t) {});
+                         });
+    }
+    void serve(const StreamPtr& stream) {
+        stream->response = served_text(std::string(stream->parser.get()["Attempt-Id"]));
+        asio::async_write(stream->socket, asio::buffer(stream->response),
+                          [stream](const error_code&, std::size_t) {});
+    }
+
+    History& history_;
+    Listener listener_;
+};
+
+/// Two inbound proxies whose endpoints begin early.
+struct UploadWorld {
+    UploadWorld() : world(1, 2) {
+        world.set_routes(World::version(2, "s", kTimeoutMs));
+        for (const auto& proxy : world.inbound_proxies) {
+            endpoints.push_back(std::make_unique<UploadEndpoint>(world.loop(), world.history));
+            proxy->to_endpoint.set_endpoint(decision::EndpointId{1}, endpoints.back()->address(), true);
+        }
+    }
+    void set_all(EarlyStep step) {
+        for (const auto& endpoint : endpoints) endpoint->step = step;
+    }
+    /// The first endpoint that gets a request answers it, all others serve.
+    void set_first(EarlyStep step, const std::string& status, const std::string& fields) {
+        set_all(step);
+        for (const auto& endpoint : endpoints) {
+            endpoint->status = status;
+            endpoint->fields = fields;
+        }
+    }
+    [[nodiscard]] int arrivals() const { return endpoints[0]->arrivals + endpoints[1]->arrivals; }
+    /// Sends a part of the body at once and the rest 20 ms later. Returns the response's status; 0: none.
+    unsigned upload(const std::string& id, bool idempotent) {
+        const std::string body(kBodyBytes, 'u');
+        const std::string head = World::request_text(
+            id, idempotent, "Content-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n", kTimeoutMs);
+        const auto response = world.send_once(head + body.substr(0, kSentAtOnce), body.substr(kSentAtOnce));
+        return response ? response->status : 0;
+    }
+    /// Sends the first part of a body to an endpoint, and calls `then` once that has arrived.
+    decision::Status outcome_of_unfinished_upload(
+        const std::function<void(EndpointClient::Attempt&, Pipe&)>& then) {
+        http::request<IncrementalBody> request{http::verb::post, "/o/x", 11};
+        request.set("Attempt-Id", "a");
+        request.body() = std::string(kSentAtOnce, 'u');
+        const auto message = std::make_shared<HttpMessage>(std::move(request));
+        message->rest = std::make_shared<Pipe>(kMaxPipeBytes);
+        message->length = kBodyBytes;
+        std::optional<decision::Status> ended;
+        const int arrivals_before = arrivals();
+        const auto handle = world.inbound_proxies[0]->to_endpoint.send(
+            decision::EndpointId{1}, message, world.loop().now() + 300ms,
+            [&](Result&& result) { ended = result.status; });
+        REQUIRE(world.wait_for([&] { return arrivals() > arrivals_before; }, 5s));
+        if (const auto attempt = handle.lock()) then(*attempt, *message->rest);
+        REQUIRE(world.wait_for([&] { return ended.has_value(); }, 5s));
+        return *ended;
+    }
+    World world;
+    std::vector<std::unique_ptr<UploadEndpoint>> endpoints;
+};
+
+bool is_promise(unsigned status) {
+    return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+}  // namespace
+
+// Guards against a request that ran while its body was arriving and runs again elsewhere, or is told not to
+// have run.
+TEST_CASE("a failure of an endpoint in the middle of an upload is no proof that the request did not run") {
+    for (const EarlyStep step :
+         {EarlyStep::Respond, EarlyStep::RespondAndClose, EarlyStep::RespondAndReset, EarlyStep::Reset}) {
+        for (const std::string status : {"500 Failed", "503 No", "504 Late"}) {
+            CAPTURE(static_cast<int>(step));
+            CAPTURE(status);
+            UploadWorld uploads;
+            uploads.set_first(step, status, "");
+            const unsigned answer = uploads.upload("a", false);
+            CHECK(uploads.world.history.executions["a"] == 1);
+            CHECK(answer >= 500);
+            CHECK_FALSE(is_promise(answer));
+            if (step == EarlyStep::Respond && status == "500 Failed") CHECK(answer == 500);
+        }
+    }
+}
+
+// Guards against the same where the body does not come to its end.
+TEST_CASE("an upload that is still arriving at its deadline, or when its client goes, may have run") {
+    UploadWorld uploads;
+    uploads.set_all(EarlyStep::ReadOn);
+    CHECK(uploads.outcome_of_unfinished_upload([](EndpointClient::Attempt&, Pipe&) {}) ==
+          decision::Status::Timeout);
+    CHECK(uploads.outcome_of_unfinished_upload([](EndpointClient::Attempt& attempt, Pipe&) {
+        attempt.withdraw_if_unsent();
+    }) == decision::Status::Cancelled);
+    CHECK(uploads.outcome_of_unfinished_upload([](EndpointClient::Attempt&, Pipe& rest) { rest.fail(); }) ==
+          decision::Status::Reset);
+    CHECK(uploads.world.history.executions["a"] >= 1);
+}
+
+TEST_CASE("an endpoint that turns an upload away while it arrives has not run it, and says so") {
+    UploadWorld uploads;
+    uploads.set_first(EarlyStep::Respond, "503 Full", "Not-Executed: 1\r\n");
+    const unsigned answer = uploads.upload("a", false);
+    CHECK(uploads.world.history.executions["a"] <= 1);
+    CHECK(is_promise(answer) == (uploads.world.history.executions["a"] == 0));
+}
+
+TEST_CASE(
+    "a success that comes before the request's last byte is passed on once the endpoint has all of it") {
+    UploadWorld uploads;
+    uploads.set_first(EarlyStep::Respond, "200 OK", "");
+    CHECK(uploads.upload("a", false) == 200);
+    CHECK(uploads.arrivals() == 1);
+    for (const auto& endpoint : uploads.endpoints) {
+        if (endpoint->arrivals > 0) CHECK(endpoint->last_body.size() == kBodyBytes);
+    }
+}
+
+TEST_CASE("an interim answer in the middle of an upload is not taken for the answer") {
+    UploadWorld uploads;
+    uploads.set_first(EarlyStep::Continue, "", "");
+    CHECK(uploads.upload("a", false) == 200);
+    CHECK(uploads.arrivals() == 1);
+}
--- a/tests/mesh/hop_world.h
+++ b/tests/mesh/hop_world.h
@@ -108,7 +108,8 @@
     }
     /// Returns a configuration that routes non-idempotent requests to this service.
     static std::shared_ptr<const mesh_config::RouteTable> version(
-        mesh_config::Version number, const std::string& non_idempotent_service = "s") {
+        mesh_config::Version number, const std::string& non_idempotent_service = "s",
+        std::int64_t timeout_ms = 400) {
         mesh_config::Config config;
         config.clusters = {{"s", "/health", 100}, {"t", "/health", 100}};
         mesh_config::Rule idempotent, non_idempotent;
@@ -118,8 +119,8 @@
         non_idempotent.name = "o";
         non_idempotent.route_kind = "non_idempotent";
         non_idempotent.matcher.path_prefix = "/o/";
-        idempotent.route_action = {"s", std::nullopt, 400, 3};
-        non_idempotent.route_action = {non_idempotent_service, std::nullopt, 400, 3};
+        idempotent.route_action = {"s", std::nullopt, timeout_ms, 3};
+        non_idempotent.route_action = {non_idempotent_service, std::nullopt, timeout_ms, 3};
         idempotent.target_latency_ms = non_idempotent.target_latency_ms = 300;
         config.listeners = {{"h", {idempotent, non_idempotent}}};
         return std::make_shared<const mesh_config::RouteTable>(number, config);
@@ -128,9 +129,10 @@
         outbound_.set_routes(std::move(routes));
     }
     static std::string request_text(const std::string& id, bool idempotent,
-                                    const std::string& fields_and_body = "") {
+                                    const std::string& fields_and_body = "", int time_remaining_ms = 350) {
         return "POST " + std::string(idempotent ? "/r/" : "/o/") +
-               "x HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id + "\r\nTime-Remaining: 350\r\n" +
+               "x HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id +
+               "\r\nTime-Remaining: " + std::to_string(time_remaining_ms) + "\r\n" +
                (fields_and_body.empty() ? "Content-Length: 2\r\n\r\nhi" : fields_and_body);
     }
     /// Runs the loop until `condition` holds. Returns false on a time-out.
