Engine: a request whose body was consumed is not sent again after a failure

What callers saw: a repeatable request of over 64 KB that its endpoint answered with 500 was sent once more with what was left of its body: with chunks an empty one, which ran and was answered 200; with a stated length it got no answer before its deadline.

Cause: Engine::ended() asked whether the body could be sent again only where the failure had no head to pass on.

Change: it asks always; the client gets the endpoint's failure.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -208,15 +208,14 @@
         const auto rest = answer.rest;
         // Guards against an endpoint that keeps sending to a caller that has disconnected.
         if (!complete(id, std::move(answer), CompletionReason::Endpoint) && rest) rest->stop_reading();
-    } else if (result.status == Status::Error && result.head) {
-        request_state.failure = std::move(result.head);
-        request_state.failure_body = std::move(result.body);
-    } else if (request_state.message && !request_state.message->resendable()) {
+    } else {
+        if (result.status == Status::Error && result.head) {
+            request_state.failure = std::move(result.head);
+            request_state.failure_body = std::move(result.body);
+        }
         // The body has been forwarded and freed, so that another attempt has nothing to send.
-        const bool never_ran = result.status == Status::Rejected || result.status == Status::ConnectFailed ||
-                               result.status == Status::NotSent;
-        complete(id, Answer{never_ran ? Answer::Kind::Refused : Answer::Kind::Failed, {}, {}, {}},
-                 CompletionReason::BodyConsumed);
+        const bool body_consumed = request_state.message && !request_state.message->resendable();
+        if (body_consumed) complete_without_body(id, result.status);
     }
     const auto still = requests_.find(id);
     outcome.last = still == requests_.end() || !still->second.reply;
@@ -225,6 +224,14 @@
     if (ended_) ended_(endpoint, status);
 }
 
+/// Completes a request after an attempt that consumed its body and ended without success.
+void Engine::complete_without_body(const RequestId& id, Status ended) {
+    const bool never_ran =
+        ended == Status::Rejected || ended == Status::ConnectFailed || ended == Status::NotSent;
+    complete(id, Answer{never_ran ? Answer::Kind::Refused : Answer::Kind::Failed, {}, {}, {}},
+             CompletionReason::BodyConsumed);
+}
+
 /// The only place that completes a request: at most once, and nothing more is sent for it afterwards.
 bool Engine::complete(const RequestId& id, Answer&& answer, CompletionReason reason) {
     const auto it = requests_.find(id);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -124,6 +124,7 @@
     void post_received(const decision::RequestId& id, OpenRequest& request_state);
     void send(const decision::Send& send);
     void ended(const decision::RequestId& id, std::size_t number, EndpointId endpoint, Result&& result);
+    void complete_without_body(const decision::RequestId& id, decision::Status ended);
     bool complete(const decision::RequestId& id, Answer&& answer, Observer::CompletionReason reason);
     void erase_if_finished(const decision::RequestId& id);
 
--- a/tests/mesh/early_answer_test.cpp
+++ b/tests/mesh/early_answer_test.cpp
@@ -108,6 +108,12 @@
     Listener listener_;
 };
 
+std::string chunk_of(std::size_t size) {
+    char stated[20];
+    std::snprintf(stated, sizeof stated, "%zx", size);
+    return std::string(stated) + "\r\n" + std::string(size, 'u') + "\r\n";
+}
+
 /// Two inbound proxies whose endpoints begin early.
 struct UploadWorld {
     UploadWorld() : world(1, 2) {
@@ -137,6 +143,14 @@
         const auto response = world.send_once(head + body.substr(0, kSentAtOnce), body.substr(kSentAtOnce));
         return response ? response->status : 0;
     }
+    /// The same with a body of unknown length, of a request that may be repeated.
+    unsigned upload_in_chunks(const std::string& id) {
+        const std::string chunk = chunk_of(kSentAtOnce);
+        const std::string head =
+            World::request_text(id, true, "Transfer-Encoding: chunked\r\n\r\n", kTimeoutMs);
+        const auto response = world.send_once(head + chunk, chunk + "0\r\n\r\n");
+        return response ? response->status : 0;
+    }
     /// Sends the first part of a body to an endpoint, and calls `then` once that has arrived.
     decision::Status outcome_of_unfinished_upload(
         const std::function<void(EndpointClient::Attempt&, Pipe&)>& then) {
@@ -224,3 +238,19 @@
     CHECK(uploads.upload("a", false) == 200);
     CHECK(uploads.arrivals() == 1);
 }
+
+// Guards against a second attempt that sends what is left of a body which the first has consumed.
+TEST_CASE("a repeatable upload whose endpoint fails is not sent again without its body") {
+    for (const EarlyStep step : {EarlyStep::Respond, EarlyStep::RespondAfterBody}) {
+        CAPTURE(static_cast<int>(step));
+        for (const bool states_length : {true, false}) {
+            CAPTURE(states_length);
+            UploadWorld uploads;
+            uploads.set_first(step, "500 Failed", "");
+            const Time sent_at = uploads.world.loop().now();
+            CHECK((states_length ? uploads.upload("a", true) : uploads.upload_in_chunks("a")) == 500);
+            CHECK(uploads.arrivals() == 1);
+            CHECK(uploads.world.loop().now() - sent_at < std::chrono::milliseconds(kTimeoutMs));
+        }
+    }
+}
