Connection: a message's own fields go before the proxy's are set

Cause: what the client's Connection names was erased after the proxy had set its fields. Likewise it could take away Attempt-Id or Host, and an endpoint's the seal of its answer; of several Connection lines one was read.

--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -268,6 +268,7 @@
     const auto ready_path = listener_.protocol_.ready_path();
     if (!ready_path.empty() && head.target() == ready_path) return answer_readiness(keep && !arriving);
     const Time now = EventLoop::monotonic();
+    strip_connection_fields(head, listener_.protocol_.end_to_end_fields());
     auto request = listener_.protocol_.read(head, now - time_since_last_data());
     if (const auto* rejection = std::get_if<LocalReply>(&request))
         return send_local_reply(rejection->status, keep && rejection->keep && !arriving,
@@ -319,7 +320,6 @@
     } else {
         message = std::make_shared<HttpMessage>(parser_->release());
     }
-    strip_connection_fields(message->head);
     message->head.version(11);
     return message;
 }
--- a/src/http1/endpoint_connection.cpp
+++ b/src/http1/endpoint_connection.cpp
@@ -282,7 +282,7 @@
     head->status = answer.result_int();
     head->fields = answer;
     head->origin = origin_;
-    strip_connection_fields(head->fields);
+    strip_connection_fields(head->fields, pool_.protocol_.end_to_end_fields());
     return head;
 }
 
--- a/src/http1/protocol.cpp
+++ b/src/http1/protocol.cpp
@@ -1,6 +1,7 @@
 #include "http1/protocol.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 #include "core/loop.h"
@@ -46,6 +47,13 @@
             kAnswerOnlyPeriod};
 }
 
+FieldNames SidecarServerProtocol::end_to_end_fields() const {
+    static constexpr std::array<std::string_view, 8> kFields{
+        "Host",         "X-Request-ID", "X-Priority-Class", "Idempotency-Key",
+        "X-Timeout-Ms", "X-Retried",    "X-Tenant-Id",      "X-Cost"};
+    return kFields;
+}
+
 /// Returns the event for a message, or the status that rejects it.
 std::variant<Request, LocalReply> SidecarServerProtocol::read(Fields& message, Time arrived) {
     const Settings& settings = settings_;
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -3,11 +3,14 @@
 // and writing.
 #pragma once
 
+#include <algorithm>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/status.hpp>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -18,6 +21,9 @@
 
 namespace martenford {
 
+/// Names of header fields; they are compared without regard to case.
+using FieldNames = std::span<const std::string_view>;
+
 /// The head of an endpoint's answer, without the fields that concern its connection alone.
 class HttpAnswerHead : public AnswerHead {
   public:
@@ -66,8 +72,10 @@
     /// The path of the readiness check; empty: none on this port.
     virtual std::string_view ready_path() const { return {}; }
     /// Returns the event for a request, or the reply that rejects it. `arrived` is when its last byte was
-    /// received. May add and remove fields.
+    /// received. May add and remove fields; those that concern the connection alone are gone already.
     virtual std::variant<decision::Request, LocalReply> read(Fields& head, Time arrived) = 0;
+    /// Fields that are meant for all recipients of a request, also where its Connection field names them.
+    virtual FieldNames end_to_end_fields() const { return {}; }
     /// Sets the status and the fields of the answer to request `id`. The listener sets its length and
     /// connection fields.
     virtual void write(const Answer& answer, const decision::RequestId& id,
@@ -102,20 +110,30 @@
     /// How the attempt ended. Empty: this answers another request, and is skipped.
     virtual std::optional<decision::Status> classify(const http::response_header<>& head,
                                                      const HttpMessage* message, EndpointId from) = 0;
+    /// Fields that are meant for all recipients of an answer, also where its Connection field names them.
+    virtual FieldNames end_to_end_fields() const { return {}; }
     /// Whether the heads of answers are forwarded.
     virtual bool forwards_heads() const { return false; }
     /// Whether an answer without a stated length may end with the connection.
     virtual bool allows_close_delimited() const { return true; }
 };
 
-/// Removes the fields that concern one connection alone (RFC 9110, section 7.6.1).
+/// Removes the fields that concern one connection alone (RFC 9110, section 7.6.1): those that HTTP defines as
+/// such, and those that a Connection field names. Of the latter `end_to_end` stay, which are meant for all
+/// recipients: the RFC forbids a sender to name such a field. Call it before fields of our own are set, so
+/// that the sender cannot remove those.
 template <class Fields>
-void strip_connection_fields(Fields& fields) {
-    const auto listed = std::string(fields[http::field::connection]);
-    for (const auto& name : http::token_list(listed)) {
-        if (!boost::beast::iequals(name, "close") && !boost::beast::iequals(name, "keep-alive")) {
-            fields.erase(name);
-        }
+void strip_connection_fields(Fields& fields, FieldNames end_to_end) {
+    std::string named;
+    const auto [first, last] = fields.equal_range(http::field::connection);
+    for (auto field = first; field != last; ++field) {
+        named.append(field->value().data(), field->value().size()).append(",");
+    }
+    for (const auto& token : http::token_list(named)) {
+        const auto is_token = [&token](std::string_view name) {
+            return boost::beast::iequals(token, boost::beast::string_view(name.data(), name.size()));
+        };
+        if (std::none_of(end_to_end.begin(), end_to_end.end(), is_token)) fields.erase(token);
     }
     for (const auto field : {http::field::connection, http::field::keep_alive, http::field::proxy_connection,
                              http::field::te, http::field::trailer, http::field::upgrade, http::field::expect,
@@ -133,6 +151,7 @@
     explicit SidecarServerProtocol(const decision::Settings& settings) : settings_(settings) {}
     const ListenerLimits& limits() const override { return limits_; }
     DrainTimes drain_times() const override;
+    FieldNames end_to_end_fields() const override;
     std::string_view ready_path() const override { return "/-/ready"; }
     std::variant<decision::Request, LocalReply> read(Fields& head, Time arrived) override;
     void write(const Answer& answer, const decision::RequestId& id, http::response_header<>& head) override;
--- a/src/proxy/http_fields.h
+++ b/src/proxy/http_fields.h
@@ -2,6 +2,7 @@
 // small helpers for them.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <string_view>
@@ -21,6 +22,11 @@
 inline constexpr char kNotExecuted[] = "Not-Executed";
 inline constexpr char kServerSeal[] = "Server-Seal";
 
+/// Fields of clients and of endpoints that are meant for all recipients. Those that the system sets itself
+/// are not among them: a client's own are dropped.
+inline constexpr std::array<std::string_view, 4> kClientFields{"Host", kAttemptId, kTimeRemaining, kApiKey};
+inline constexpr std::array<std::string_view, 2> kEndpointFields{kAttemptId, kServerSeal};
+
 /// Bytes of an Attempt-Id; a longer one is a bad request.
 inline constexpr std::size_t kMaxAttemptIdBytes = 128;
 /// Answers that a listener holds during a shutdown: a twentieth of the memory of the smallest machines.
--- a/src/proxy/inbound_protocol.h
+++ b/src/proxy/inbound_protocol.h
@@ -3,6 +3,7 @@
 // "What martenford speaks". Both run on the proxy's loop and own nothing that they refer to.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -13,9 +14,14 @@
 #include "http1/protocol.h"
 #include "mesh_config/mesh_config.h"
 #include "proxy/hop_header.h"
+#include "proxy/http_fields.h"
 
 namespace martenford::proxy {
 
+/// Fields that the caller's proxy sends to the endpoint's.
+inline constexpr std::array<std::string_view, 6> kHopFields{"Host",      kAttemptId,     kTimeRemaining,
+                                                            kTenantName, kCallerService, kHopField};
+
 /// Requests of other proxies, on the `inbound` port.
 class HopServerProtocol : public ServerProtocol {
   public:
@@ -27,6 +33,7 @@
 
     [[nodiscard]] const ListenerLimits& limits() const override { return limits_; }
     [[nodiscard]] DrainTimes drain_times() const override;
+    [[nodiscard]] FieldNames end_to_end_fields() const override { return kHopFields; }
     /// Answers a delivery query and a request of an outdated configuration at once; hands the rest to the
     /// admission controller.
     [[nodiscard]] std::variant<decision::Request, LocalReply> read(Fields& head, Time arrived) override;
@@ -67,6 +74,7 @@
     [[nodiscard]] std::optional<decision::Status> classify(const http::response_header<>& head,
                                                            const HttpMessage* message,
                                                            EndpointId from) override;
+    [[nodiscard]] FieldNames end_to_end_fields() const override { return kEndpointFields; }
     [[nodiscard]] bool forwards_heads() const override { return true; }
     [[nodiscard]] bool allows_close_delimited() const override { return false; }
 
--- a/src/proxy/outbound_protocol.h
+++ b/src/proxy/outbound_protocol.h
@@ -15,6 +15,7 @@
 #include "http1/protocol.h"
 #include "mesh_config/mesh_config.h"
 #include "outbound/outbound_policy.h"
+#include "proxy/http_fields.h"
 #include "quota/quota.h"
 
 namespace martenford::proxy {
@@ -57,6 +58,7 @@
 
     [[nodiscard]] const ListenerLimits& limits() const override { return limits_; }
     [[nodiscard]] DrainTimes drain_times() const override;
+    [[nodiscard]] FieldNames end_to_end_fields() const override { return kClientFields; }
     /// Checks the request, finds route, tenant and quota, and hands the plan to the policy.
     [[nodiscard]] std::variant<decision::Request, LocalReply> read(Fields& head, Time arrived) override;
     void write(const Answer& answer, const decision::RequestId& id, http::response_header<>& head) override;
@@ -107,6 +109,7 @@
     [[nodiscard]] std::optional<decision::Status> classify(const http::response_header<>& head,
                                                            const HttpMessage* message,
                                                            EndpointId from) override;
+    [[nodiscard]] FieldNames end_to_end_fields() const override { return kEndpointFields; }
     [[nodiscard]] bool forwards_heads() const override { return true; }
     [[nodiscard]] bool allows_close_delimited() const override { return false; }
 
