Tenants: an empty list serves nobody; it is not the same as no list

Cause: the configuration's list was empty both where it is absent and where its last tenant is gone, and an empty one meant that no request needs a key. On the hop a request without a tenant ran at a proxy whose newer configuration wants one.

Change: the list is optional; where it is there, keys are wanted. Beside a configuration without the list a key that is sent must be known if the contract "tenants" is active. A change that adds no tenants makes no list.

--- a/src/bootstrap/settings.h
+++ b/src/bootstrap/settings.h
@@ -115,7 +115,8 @@
     /// `beat_interval_ms`, 1 to 3,600,000: the interval of the endpoint's heartbeats. Default: 1500 ms.
     Duration beat_interval{1500ms};
 
-    /// True if `active_contracts` has "tenants". Not used. Default: false.
+    /// True if `active_contracts` has "tenants": a key that no tenant has is refused on every route that is
+    /// not keyless, also where the configuration has no list of tenants. Default: false.
     bool tenants = false;
 
     Bounds bounds;
--- a/src/controller/quota_service.cpp
+++ b/src/controller/quota_service.cpp
@@ -40,7 +40,8 @@
     const auto result = mesh_config::read_config(json);
     const auto* config = std::get_if<mesh_config::Config>(&result);
     if (!config) return quotas;
-    for (const auto& tenant : config->tenants) quotas[tenant.name] = {tenant.rate_per_s, tenant.burst};
+    for (const auto& tenant : mesh_config::tenants_of(*config))
+        quotas[tenant.name] = {tenant.rate_per_s, tenant.burst};
     return quotas;
 }
 
--- a/src/mesh_config/config.cpp
+++ b/src/mesh_config/config.cpp
@@ -30,6 +30,11 @@
     return std::nullopt;
 }
 
+const std::vector<Tenant>& tenants_of(const Config& config) {
+    static const std::vector<Tenant> kNone;
+    return config.tenants ? *config.tenants : kNone;
+}
+
 std::string normalized_host(std::string_view host) {
     std::string lower(host);
     std::transform(lower.begin(), lower.end(), lower.begin(),
--- a/src/mesh_config/config.h
+++ b/src/mesh_config/config.h
@@ -107,10 +107,14 @@
     std::string version;
     std::string base_version;
     Limits limits;
-    std::vector<Tenant> tenants;
+    /// Absent: no request needs a key. Present and empty: nobody has one.
+    std::optional<std::vector<Tenant>> tenants;
     std::vector<Listener> listeners;
     std::vector<Cluster> clusters;
 };
 BOOST_DESCRIBE_STRUCT(Config, (), (version, base_version, limits, tenants, listeners, clusters))
 
+/// The tenants of a configuration; none where it has no such list.
+[[nodiscard]] const std::vector<Tenant>& tenants_of(const Config& config);
+
 }  // namespace martenford::mesh_config
--- a/src/mesh_config/config_change.cpp
+++ b/src/mesh_config/config_change.cpp
@@ -99,6 +99,8 @@
     if (list == "listeners") {
         upsert_listeners(document, items);
     } else if (list == "clusters" || list == "tenants") {
+        // An empty list is not the same as none: nothing is added by nothing.
+        if (items.empty()) return std::nullopt;
         if (!document.contains(list)) document[list] = Json::array();
         for (const Json& item : items) upsert_named(document[list], item);
     } else if (list == "limits") {
--- a/src/mesh_config/explain.cpp
+++ b/src/mesh_config/explain.cpp
@@ -36,9 +36,9 @@
     return all;
 }
 
-std::map<std::string, Tenant> tenants_of(const Config& config) {
+std::map<std::string, Tenant> tenants_by_name(const Config& config) {
     std::map<std::string, Tenant> all;
-    for (const Tenant& tenant : config.tenants) all[tenant.name] = tenant;
+    for (const Tenant& tenant : tenants_of(config)) all[tenant.name] = tenant;
     return all;
 }
 
@@ -152,8 +152,13 @@
 }
 
 void compare_tenants(const Config& before, const Config& after, Lines& to) {
-    const auto old_tenants = tenants_of(before);
-    const auto new_tenants = tenants_of(after);
+    if (before.tenants.has_value() != after.tenants.has_value()) {
+        to.emplace(Severity::Behaviour, after.tenants
+                                            ? "requests need a tenant's key, unless their route is keyless"
+                                            : "requests need no key any more");
+    }
+    const auto old_tenants = tenants_by_name(before);
+    const auto new_tenants = tenants_by_name(after);
     for (const auto& [name, tenant] : old_tenants) {
         if (const auto found = new_tenants.find(name); found != new_tenants.end()) {
             compare(tenant, found->second, to);
@@ -191,7 +196,10 @@
         if (!used.contains(cluster.name))
             lines.push_back("service " + cluster.name + ": no route goes there");
     }
-    for (const Tenant& tenant : config.tenants) {
+    if (config.tenants && config.tenants->empty()) {
+        lines.push_back("tenants: the list is empty, so that only keyless routes are served");
+    }
+    for (const Tenant& tenant : tenants_of(config)) {
         if (tenant.api_keys.empty())
             lines.push_back("tenant " + tenant.name + ": it has no key, so that nobody is it");
         if (tenant.rate_per_s > 0 && tenant.burst > 10 * tenant.rate_per_s)
@@ -208,7 +216,7 @@
         routes.begin(), routes.end(), [](const auto& route) { return !is_idempotent(route.second.rule); });
     std::ostringstream out;
     out << "valid: version " << config.version << ", " << routes.size() << " routes (" << non_idempotent
-        << " must not run twice), " << config.clusters.size() << " services, " << config.tenants.size()
+        << " must not run twice), " << config.clusters.size() << " services, " << tenants_of(config).size()
         << " tenants\n";
     for (const std::string& warning : warnings(config)) out << "look at: " << warning << "\n";
     return out.str();
@@ -232,8 +240,7 @@
         << "  to " << destination(action) << ", " << action.timeout_ms << " ms at most, "
         << (is_idempotent(chosen.rule) ? std::to_string(action.max_attempts) + " endpoints at most"
                                        : "one endpoint, once")
-        << ", " << (chosen.rule.keyless || config.tenants.empty() ? "without a key" : "with a tenant's key")
-        << "\n";
+        << ", " << (table.needs_key(*route) ? "with a tenant's key" : "without a key") << "\n";
     for (const Listener& listener : config.listeners) {
         if (listener.host != chosen.host) continue;
         for (const Rule& rule : listener.rule_set) {
--- a/src/mesh_config/route_table.cpp
+++ b/src/mesh_config/route_table.cpp
@@ -49,7 +49,10 @@
 }
 
 RouteTable::RouteTable(Version version, const Config& config)
-    : version_(version), limits_(config.limits), tenants_(config.tenants) {
+    : version_(version),
+      limits_(config.limits),
+      has_tenants_(config.tenants.has_value()),
+      tenants_(tenants_of(config)) {
     for (const Cluster& cluster : config.clusters) clusters_.emplace(cluster.name, cluster);
     for (std::size_t i = 0; i < tenants_.size(); ++i) {
         for (const std::string& key : tenants_[i].api_keys) tenant_index_by_key_.emplace(key, i);
--- a/src/mesh_config/route_table.h
+++ b/src/mesh_config/route_table.h
@@ -40,8 +40,9 @@
     /// The route with the longest prefix of `path` on this host, or null. `host` may have a port, `path` a
     /// query.
     [[nodiscard]] const Route* route(std::string_view host, std::string_view path) const;
-    /// False: the configuration has no tenants, and requests need no API key.
-    [[nodiscard]] bool has_tenants() const { return !tenants_.empty(); }
+    /// Whether a request on this route needs a tenant's API key: the configuration has a list of tenants,
+    /// also one that is empty by now, and the route is not keyless.
+    [[nodiscard]] bool needs_key(const Route& route) const { return has_tenants_ && !route.keyless; }
     /// The tenant that has this API key, or null.
     [[nodiscard]] const Tenant* tenant_by_key(std::string_view key) const;
     /// The tenant of this name, or null. Linear in the number of tenants.
@@ -61,6 +62,7 @@
 
     Version version_;
     Limits limits_;
+    bool has_tenants_;  // the configuration has such a list
     std::vector<Tenant> tenants_;
     std::unordered_map<std::string, std::size_t> tenant_index_by_key_;
     std::unordered_map<std::string, Cluster> clusters_;
--- a/src/mesh_config/validation.cpp
+++ b/src/mesh_config/validation.cpp
@@ -52,7 +52,7 @@
     for (std::size_t i = 0; i < config.listeners.size(); ++i) {
         if (auto error = check_listener(config.listeners[i], indexed("listeners", i))) return error;
     }
-    for (const Tenant& tenant : config.tenants) {
+    for (const Tenant& tenant : tenants_of(config)) {
         if (auto error = check_tenant(tenant)) return error;
     }
     return std::nullopt;
--- a/src/proxy/inbound_protocol.cpp
+++ b/src/proxy/inbound_protocol.cpp
@@ -112,7 +112,7 @@
     const auto tenant = view_of(head[kTenantName]);
     return !route || route->idempotent() != inbound.idempotent ||
            route->service_for(inbound.attempt_id) != settings_.service ||
-           (!tenant.empty() && !routes->tenant(tenant));
+           (tenant.empty() ? routes->needs_key(*route) : !routes->tenant(tenant));
 }
 
 void HopServerProtocol::write(const Answer& answer, const RequestId& id, http::response_header<>& head) {
--- a/src/proxy/outbound_protocol.cpp
+++ b/src/proxy/outbound_protocol.cpp
@@ -65,9 +65,12 @@
 
 std::variant<const mesh_config::Tenant*, LocalReply> OutboundServerProtocol::authenticate(
     const Fields& head, const mesh_config::Route& route) {
-    if (!routes_->has_tenants() || route.keyless) return nullptr;
-    const auto* tenant = routes_->tenant_by_key(view_of(head[kApiKey]));
-    if (tenant) return tenant;
+    if (route.keyless) return nullptr;
+    const auto key = view_of(head[kApiKey]);
+    // Where requests need no key, one that is sent all the same may be a key that was dropped.
+    const bool has_unknown_key = settings_.tenants && !key.empty();
+    if (!routes_->needs_key(route) && !has_unknown_key) return nullptr;
+    if (const auto* tenant = routes_->tenant_by_key(key)) return tenant;
     ++totals_.no_key;
     return LocalReply{http::status::unauthorized};
 }
@@ -149,7 +152,8 @@
 void OutboundServerProtocol::replan(const WaitingRequest& waiting) {
     const auto* route = routes_->route(waiting.host, waiting.target);
     const auto* tenant = waiting.tenant.empty() ? nullptr : routes_->tenant(waiting.tenant);
-    const bool allowed = route && (waiting.tenant.empty() || tenant);
+    const bool needs_tenant = !waiting.tenant.empty() || (route && routes_->needs_key(*route));
+    const bool allowed = route && (tenant || !needs_tenant);
     policy_.replan(waiting.id, allowed ? std::optional(plan_for(*route, waiting.id, tenant)) : std::nullopt);
 }
 
--- a/tests/mesh/connection_field_test.cpp
+++ b/tests/mesh/connection_field_test.cpp
@@ -26,7 +26,7 @@
     mesh_config::Tenant tenant;
     tenant.name = kTenant;
     tenant.api_keys = {kKey};
-    config.tenants.push_back(tenant);
+    config.tenants = {tenant};
     return std::make_shared<const mesh_config::RouteTable>(2, config);
 }
 
--- a/tests/mesh/hop_world.h
+++ b/tests/mesh/hop_world.h
@@ -186,6 +186,8 @@
         engine_.handle_discovery({});
     }
     EventLoop& loop() { return loop_; }
+    /// Of the caller's proxy.
+    bootstrap::Settings& settings() { return settings_; }
     proxy::HopClientProtocol& hop_protocol() { return hop_protocol_; }
     ServerProtocol& server_protocol() { return outbound_; }
     History history;
--- a/tests/mesh/scale_test_tool_test.cpp
+++ b/tests/mesh/scale_test_tool_test.cpp
@@ -107,7 +107,7 @@
     for (const auto& listener : config->listeners) routes += listener.rule_set.size();
     CHECK(routes == 100);
     CHECK(config->clusters.size() == 71);
-    CHECK(config->tenants.size() == 12);
+    CHECK(mesh_config::tenants_of(*config).size() == 12);
     CHECK(config->listeners[0].rule_set[0].route_action.timeout_ms !=
           std::get<mesh_config::Config>(
               mesh_config::read_config(mesh_config::Json::parse(configuration(size, 3, 2))))
