--- a/include/martenford/decision/balancer.h
+++ b/include/martenford/decision/balancer.h
@@ -147,6 +147,11 @@
 
 enum class Status { Error, Ok, Rejected, Timeout, ConnectFailed, Reset, Cancelled, NotSent };
 
+/// Whether an attempt that ended so did certainly not run, and never will.
+[[nodiscard]] constexpr bool proves_never_ran(Status status) {
+    return status == Status::Rejected || status == Status::ConnectFailed || status == Status::NotSent;
+}
+
 /// A result of service discovery. Full and Cached replace the list, Delta changes it, Failed has no list.
 struct DiscoveryUpdate {
     enum class Kind { Cached, Full, Delta, Failed };
--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -18,11 +18,6 @@
 // Wait reported before the first endpoint is known.
 constexpr Duration kWaitWithoutEndpoint = 10s;
 
-/// Outcomes that prove that the endpoint did not get the request.
-bool proves_not_run(Status status) {
-    return status == Status::Rejected || status == Status::ConnectFailed || status == Status::NotSent;
-}
-
 }  // namespace
 
 void AdmissionController::set_endpoint(EndpointId id, const std::string& instance, std::uint32_t slots) {
@@ -177,7 +172,7 @@
     Call& call = known->second;
     call.in_flight = false;
     --in_flight_;
-    const bool never_ran = proves_not_run(outcome.status);
+    const bool never_ran = proves_never_ran(outcome.status);
     if (never_ran && !call.inbound.idempotent) delivered_attempts_.release(call.inbound.attempt_id);
     if (outcome.status == Status::Ok) {
         estimator_.record_service_time(call.inbound.kind, now_ - call.sent_at);
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -226,9 +226,7 @@
 
 /// Completes a request after an attempt that consumed its body and ended without success.
 void Engine::complete_without_body(const RequestId& id, Status ended) {
-    const bool never_ran =
-        ended == Status::Rejected || ended == Status::ConnectFailed || ended == Status::NotSent;
-    complete(id, Answer{never_ran ? Answer::Kind::Refused : Answer::Kind::Failed, {}, {}, {}},
+    complete(id, Answer{proves_never_ran(ended) ? Answer::Kind::Refused : Answer::Kind::Failed, {}, {}, {}},
              CompletionReason::BodyConsumed);
 }
 
--- a/src/outbound/outbound_policy.cpp
+++ b/src/outbound/outbound_policy.cpp
@@ -22,11 +22,6 @@
 // How long an inbound proxy has to say whether it passed an attempt on.
 constexpr Duration kDeliveryQueryTimeout = 300ms;
 
-/// Outcomes that prove that the endpoint did not get the request.
-bool proves_not_run(Status status) {
-    return status == Status::Rejected || status == Status::ConnectFailed || status == Status::NotSent;
-}
-
 }  // namespace
 
 void OutboundPolicy::prepare(const RequestId& id, RequestPlan plan) {
@@ -168,7 +163,7 @@
     if (known == calls_.end()) return;
     Call& call = known->second;
     if (outcome.attempt >= call.attempts.size() || !call.attempts[outcome.attempt].in_flight) return;
-    const bool never_ran = proves_not_run(outcome.status);
+    const bool never_ran = proves_never_ran(outcome.status);
     record_outcome(call, outcome, never_ran);
     if (!call.open) return forget_if_finished(outcome.id);
 
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -204,10 +204,6 @@
     Time key_blocked_until{};  // an attempt may have gone on running after its outcome
 };
 
-bool proves_never_ran(Status s) {
-    return s == Status::Rejected || s == Status::ConnectFailed || s == Status::NotSent;
-}
-
 bool may_still_run(Status s) {
     return s == Status::Timeout || s == Status::Reset || s == Status::Cancelled;
 }
