Retry budget: restarts of proxies grant no budget anew

Cause: each new budget held its whole capacity, three retries a service, so that every restart of a proxy bought three more within the same window.

Change: a new budget is empty; served calls alone fill it. Tests of what a retry does start with full budgets, as before: their checks are unchanged.

--- a/src/outbound/outbound_policy.cpp
+++ b/src/outbound/outbound_policy.cpp
@@ -106,14 +106,19 @@
 
 /// Section "Mistake #4: no retry budget": a served call adds a token to its service's bucket.
 void OutboundPolicy::earn_retry_token(const Call& call) {
-    retry_budgets_.try_emplace(call.plan.service, options_.retry_tokens).first->second.earn();
+    retry_budget(call.plan.service).earn();
 }
 
 /// Section "Mistake #4: no retry budget": a retry costs 1 / retryRatio tokens (kRetryCost), so that retries
-/// add at most a tenth to the load. The bucket starts full, with `retry_tokens`. Returns false if it has too
-/// few.
+/// add at most a tenth to the load. Returns false if the bucket has too few.
 bool OutboundPolicy::spend_retry_tokens(const Call& call) {
-    return retry_budgets_.try_emplace(call.plan.service, options_.retry_tokens).first->second.spend();
+    return retry_budget(call.plan.service).spend();
+}
+
+decision::RetryBudget& OutboundPolicy::retry_budget(const std::string& service) {
+    const auto [budget, is_new] =
+        retry_budgets_.try_emplace(service, options_.retry_tokens, options_.initial_retry_tokens);
+    return budget->second;
 }
 
 /// Section "Mistake #3: backoff without jitter", decorrelated jitter: each wait is drawn by the wait before.
--- a/src/outbound/outbound_policy.h
+++ b/src/outbound/outbound_policy.h
@@ -60,6 +60,10 @@
         /// Capacity of the retry budget of one service, in tokens; a retry costs 10. Less than the paper's
         /// 100: each of many proxies has a budget of its own.
         double retry_tokens = 30;
+        /// Tokens of a new budget. None: what this machine has spent on retries before a restart is not
+        /// known, and a capacity granted anew with each restart would be no bound. Cost: the first failures
+        /// after a start are not retried.
+        double initial_retry_tokens = 0;
         /// Upstreams that are asked for a free slot before the shortest of their queues is taken. Each costs
         /// a round trip.
         std::size_t slot_offers = 3;
@@ -147,6 +151,7 @@
     static bool may_run_again(const Call& call);
     void earn_retry_token(const Call& call);
     bool spend_retry_tokens(const Call& call);
+    decision::RetryBudget& retry_budget(const std::string& service);
     Duration jittered_wait(Call& call);
     [[nodiscard]] Duration time_left_for_retry(const Call& call) const;
 
--- a/src/policy/budget.h
+++ b/src/policy/budget.h
@@ -17,7 +17,8 @@
 class RetryBudget {
   public:
     /// Starts full.
-    explicit RetryBudget(double capacity = kBucketCapacity) : capacity_(capacity), tokens_(capacity) {}
+    explicit RetryBudget(double capacity = kBucketCapacity) : RetryBudget(capacity, capacity) {}
+    RetryBudget(double capacity, double initial) : capacity_(capacity), tokens_(initial) {}
     void earn() { tokens_ = std::min(capacity_, tokens_ + 1.0); }
     bool spend() {
         if (tokens_ < kRetryCost) return false;
--- a/tests/mesh/hop_world.h
+++ b/tests/mesh/hop_world.h
@@ -80,7 +80,7 @@
     /// The last inbound proxy's endpoint is of service `last_service`.
     explicit World(std::uint64_t seed, int inbound_proxy_count = 3, const std::string& last_service = "s")
         : random_(seed),
-          outbound_policy_({"z"}, seed),
+          outbound_policy_({.zone = "z", .initial_retry_tokens = 30}, seed),
           hop_protocol_(outbound_policy_, outbound_, loop_),
           outbound_(settings_, outbound_policy_, quota_limiter_, request_totals_,
                     [] { return std::size_t{3}; }),
--- a/tests/mesh/outbound_policy_test.cpp
+++ b/tests/mesh/outbound_policy_test.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <map>
 
+#include "bootstrap/settings.h"
 #include "outbound/upstream_table.h"
 
 using namespace martenford;
@@ -16,9 +17,16 @@
 
 namespace {
 
+/// Options of a proxy that has served calls for a while: its retry budgets are full.
+OutboundPolicy::Options with_full_budgets() {
+    OutboundPolicy::Options options;
+    options.initial_retry_tokens = options.retry_tokens;
+    return options;
+}
+
 /// An OutboundPolicy, driven event by event.
 struct Fixture {
-    explicit Fixture(const OutboundPolicy::Options& options = {}) : policy(options, 42) {}
+    explicit Fixture(const OutboundPolicy::Options& options = with_full_budgets()) : policy(options, 42) {}
     OutboundPolicy policy;
     Time now{10s};
     std::vector<Action> out;
@@ -54,6 +62,28 @@
     }
 };
 
+struct FailedCalls {
+    int retries = 0;   // scheduled
+    int failures = 0;  // given up without one
+};
+
+/// Sends `count` idempotent requests whose first attempts fail after they ran.
+FailedCalls fail_calls(Fixture& caller, int count) {
+    FailedCalls calls;
+    for (int i = 0; i < count; ++i) {
+        const RequestId id = "r" + std::to_string(i);
+        caller.request(id, true, 2);
+        const auto send = caller.next<Send>();
+        REQUIRE(send);
+        caller.end(id, 0, send->endpoint, Status::Error);
+        for (const Action& action : std::exchange(caller.out, {})) {
+            calls.retries += std::holds_alternative<SetTimer>(action);
+            calls.failures += std::holds_alternative<Fail>(action);
+        }
+    }
+    return calls;
+}
+
 }  // namespace
 
 TEST_CASE("a rejection by an inbound proxy is no retry: the next upstream is tried at once") {
@@ -107,21 +137,10 @@
 
 TEST_CASE("retry budget: a retry costs ten tokens, a served call earns one, a rejection costs none") {
     OutboundPolicy::Options options;
-    options.retry_tokens = 30;
+    options.initial_retry_tokens = options.retry_tokens = 30;
     Fixture caller(options);
     caller.add_upstreams(6);
-    int retries = 0, failures = 0;
-    for (int i = 0; i < 10; ++i) {
-        const RequestId id = "r" + std::to_string(i);
-        caller.request(id, true, 2);
-        const auto send = caller.next<Send>();
-        REQUIRE(send);
-        caller.end(id, 0, send->endpoint, Status::Error);
-        for (const Action& action : std::exchange(caller.out, {})) {
-            retries += std::holds_alternative<SetTimer>(action);
-            failures += std::holds_alternative<Fail>(action);
-        }
-    }
+    const auto [retries, failures] = fail_calls(caller, 10);
     CHECK(retries == 3);
     CHECK(failures == 7);
     for (int i = 0; i < 10; ++i) {
@@ -136,6 +155,22 @@
     CHECK(caller.next<SetTimer>());
 }
 
+// Guards against a retry budget granted anew with each restart: the proxies together then exceed the
+// platform's limit (RULES, BUDGET).
+TEST_CASE("retry budget: proxies that restart beside a failing service get no new one") {
+    constexpr int kProxies = 16, kLives = 2, kCallsInALife = 4;
+    int retries = 0;
+    for (int life = 0; life < kProxies * kLives; ++life) {
+        Fixture caller(OutboundPolicy::Options{});
+        caller.add_upstreams(6);
+        retries += fail_calls(caller, kCallsInALife).retries;
+    }
+    const bootstrap::Bounds bounds;
+    const double requests = kProxies * kLives * kCallsInALife;
+    CAPTURE(retries);
+    CHECK(retries <= bounds.retry_budget_ratio * requests + bounds.retry_budget_slack);
+}
+
 TEST_CASE(
     "jitter and deadline: a retry waits at least the base, at most the time left less 50 ms, and goes "
     "elsewhere") {
