--- a/src/quota/quota_allocator.cpp
+++ b/src/quota/quota_allocator.cpp
@@ -56,8 +56,7 @@
     // Leases of the previous leader are known only by what the proxy reports.
     const Time reported_expiry = now + std::chrono::milliseconds(demand.lease_remaining_ms);
     if (demand.leased_rate_per_s <= 0 || reported_expiry <= share.expires_at) return;
-    const double still_outstanding = now < share.expires_at ? share.outstanding_rate : 0.0;
-    share.outstanding_rate = std::max(demand.leased_rate_per_s, still_outstanding);
+    share.outstanding_rate = std::max(demand.leased_rate_per_s, leased_rate(now, share));
     share.expires_at = reported_expiry;
 }
 
@@ -119,8 +118,7 @@
             totals.wanted_rate += demanded_rate(share.wanted_rate, available);
             ++totals.active_proxies;
         }
-        const bool is_leased = now < share.expires_at;
-        if (name != proxy && is_leased) totals.outstanding_elsewhere += share.outstanding_rate;
+        if (name != proxy) totals.outstanding_elsewhere += leased_rate(now, share);
     }
     return totals;
 }
@@ -135,6 +133,35 @@
     return total_burst * (0.5 / as_divisor(active_proxies) + 0.5 * rate / available.rate_per_s);
 }
 
+QuotaAllocator::Share* QuotaAllocator::find_share(const std::string& tenant, const std::string& proxy) {
+    const auto shares = shares_by_tenant_.find(tenant);
+    if (shares == shares_by_tenant_.end()) return nullptr;
+    const auto share = shares->second.find(proxy);
+    return share == shares->second.end() ? nullptr : &share->second;
+}
+
+/// The proxy's fair share, as far as other proxies' leases leave it. `settled`: whether it may be raised.
+double QuotaAllocator::grantable_rate(Time now, const Share& share, const TenantTotals& total,
+                                      const Quota& available, bool settled) {
+    const double fair = fair_rate(share.wanted_rate, total.wanted_rate, total.active_proxies, available);
+    const double unleased = std::max(0.0, available.rate_per_s - total.outstanding_elsewhere);
+    const double rate = std::min(fair, unleased);
+    return settled ? rate : std::min(rate, leased_rate(now, share));
+}
+
+/// The rate that the proxy may use now by its leases.
+double QuotaAllocator::leased_rate(Time now, const Share& share) {
+    return now < share.expires_at ? share.outstanding_rate : 0.0;
+}
+
+void QuotaAllocator::grant(Time now, Share& share, double rate) const {
+    // Until the proxy acknowledges a smaller share, it may still use the larger one.
+    share.outstanding_rate = std::max(rate, leased_rate(now, share));
+    share.granted_rate = rate;
+    share.response_number = response_number_;
+    share.expires_at = now + options_.lease;
+}
+
 std::vector<QuotaLease> QuotaAllocator::allocate(Time now, Time leading_since, const std::string& proxy,
                                                  const std::map<std::string, Quota>& quotas,
                                                  std::size_t registered, std::size_t expired) {
@@ -146,27 +173,13 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(options_.lease).count());
     for (const auto& [tenant, quota] : quotas) {
         if (quota.rate_per_s <= 0) continue;
-        const auto known = shares_by_tenant_.find(tenant);
-        if (known == shares_by_tenant_.end()) continue;
-        Shares& shares = known->second;
-        const auto own = shares.find(proxy);
-        if (own == shares.end()) continue;
-        Share& share = own->second;
-
+        Share* const share = find_share(tenant, proxy);
+        if (!share) continue;
         const Quota available = available_quota(quota, fleet);
-        const TenantTotals total = totals(now, shares, proxy, available);
-        const double fair = fair_rate(share.wanted_rate, total.wanted_rate, total.active_proxies, available);
-        const double unleased = std::max(0.0, available.rate_per_s - total.outstanding_elsewhere);
-        const double outstanding = now < share.expires_at ? share.outstanding_rate : 0.0;
-        double rate = std::min(fair, unleased);
-        if (!settled) rate = std::min(rate, outstanding);
+        const TenantTotals total = totals(now, shares_by_tenant_.at(tenant), proxy, available);
+        const double rate = grantable_rate(now, *share, total, available, settled);
         if (rate <= 0) continue;
-
-        // Until the proxy acknowledges a smaller share, it may still use the larger one.
-        share.outstanding_rate = std::max(rate, outstanding);
-        share.granted_rate = rate;
-        share.response_number = response_number_;
-        share.expires_at = now + options_.lease;
+        grant(now, *share, rate);
         leases.push_back({tenant, rate, burst_for(rate, available, total.active_proxies), lease_ms});
     }
     return leases;
--- a/src/quota/quota_allocator.h
+++ b/src/quota/quota_allocator.h
@@ -115,6 +115,11 @@
     [[nodiscard]] TenantTotals totals(Time now, const Shares& shares, const std::string& proxy,
                                       const Quota& available) const;
     [[nodiscard]] double burst_for(double rate, const Quota& available, std::size_t active_proxies) const;
+    [[nodiscard]] Share* find_share(const std::string& tenant, const std::string& proxy);
+    [[nodiscard]] static double leased_rate(Time now, const Share& share);
+    [[nodiscard]] static double grantable_rate(Time now, const Share& share, const TenantTotals& total,
+                                               const Quota& available, bool settled);
+    void grant(Time now, Share& share, double rate) const;
 
     Options options_;
     std::uint64_t response_number_ = 0;
