Upload: an early answer that comes in several pieces is put together

Cause: what came before the request was written was read once; a part of an answer could not become a whole one.

Change: an early answer whose head names the request is read on, up to what is buffered anyway. Anything else that comes early ends the attempt as before, so that the beginning of a surplus answer does not join with the expected one.

--- a/src/http1/endpoint_connection.cpp
+++ b/src/http1/endpoint_connection.cpp
@@ -174,19 +174,31 @@
 }
 
 void EndpointConnection::handle_early_bytes() {
-    if (request_arriving()) {
-        // The answer cannot be to a request that has not begun: the bytes belong to an earlier one.
-        if (!pool_.protocol_.may_run_incomplete_requests()) return end_attempt(Status::ConnectFailed);
-        parse();
-        if (stage_ != Stage::Writing) return;
-        const bool nothing_kept =
-            !parser_->got_some() && buffer_.size() == 0;  // an interim answer, for instance
-        if (nothing_kept) return continue_reading();
-    }
-    // Whether the request is written completely, and so how the attempt ends, is known later.
+    const bool may_be_answer = pool_.protocol_.may_run_incomplete_requests();
+    // The answer cannot be to a request that has not begun: the bytes belong to an earlier one.
+    if (!may_be_answer && request_arriving()) return end_attempt(Status::ConnectFailed);
+    if (early_answer_ || (may_be_answer && request_arriving())) return parse_early_answer();
+    // Whether the request is written completely, and so how the attempt ends, is known soon.
     read_error_ = http::error::unexpected_body;
 }
 
+void EndpointConnection::parse_early_answer() {
+    parse();
+    if (stage_ != Stage::Writing) return;
+    const bool nothing_kept = !parser_->got_some() && buffer_.size() == 0;  // an interim answer, for instance
+    if (nothing_kept) return continue_reading();
+    // Guards against joining the beginning of a surplus answer with the head of the expected one: only an
+    // answer that names this request is read on.
+    early_answer_ = parser_->is_header_done() && classify().has_value();
+    if (!early_answer_) {
+        read_error_ = http::error::unexpected_body;
+        return;
+    }
+    // What is kept until the request is written is bounded: a whole answer, or the beginning of a long one.
+    const bool keeps_enough = parser_->is_done() || parser_->get().body().size() > kMaxBufferedBodyBytes;
+    if (!keeps_enough) continue_reading();
+}
+
 void EndpointConnection::handle_early_close(const error_code& error) {
     if (request_arriving()) return end_attempt(may_have_run() ? Status::Reset : Status::ConnectFailed);
     read_error_ = error;
@@ -266,7 +278,7 @@
 }
 
 bool EndpointConnection::ends_cleanly() {
-    const bool is_written = stage_ != Stage::Writing && !write_failed_;
+    const bool is_written = stage_ != Stage::Writing && !write_failed_ && !early_answer_;
     return is_written && parser_->keep_alive() && buffer_.size() == 0 && !read_error_ && !exchanges_.full() &&
            is_reusable();
 }
--- a/src/http1/endpoint_connection.h
+++ b/src/http1/endpoint_connection.h
@@ -64,6 +64,8 @@
 
     /// The endpoint sent bytes before the request was written.
     void handle_early_bytes();
+    /// Reads them as the answer to the request, or as an earlier one's.
+    void parse_early_answer();
     /// The endpoint closed before the request was written, or the connection failed.
     void handle_early_close(const error_code& error);
     /// The request was not written completely.
@@ -113,6 +115,7 @@
     // Error of a read while the request was being written, or unexpected_body if bytes came that are kept
     // until it is written. There is no further read until then.
     error_code read_error_;
+    bool early_answer_ = false;  // the answer to the request began before its last byte was written
     bool write_failed_ = false;
     bool reading_ = false;
     int interim_count_ = 0;
--- a/tests/mesh/early_answer_test.cpp
+++ b/tests/mesh/early_answer_test.cpp
@@ -18,11 +18,16 @@
 /// Leaves the time for another attempt.
 constexpr int kTimeoutMs = 3000;
 
+/// Of an early response that comes in pieces: its head, and a part of its body before the request's rest.
+constexpr std::size_t kResponsePieceBytes = 60;
+constexpr Duration kResponsePieceInterval = 6ms;
+
 /// What an endpoint does once it has the first bytes of a body.
 enum class EarlyStep {
     Serve,
     Continue,
     Respond,
+    RespondInPieces,
     RespondAndClose,
     RespondAndReset,
     Reset,
@@ -34,7 +39,7 @@
 class UploadEndpoint {
   public:
     UploadEndpoint(EventLoop& loop, History& history)
-        : history_(history), listener_(loop, [this](tcp::socket socket) {
+        : loop_(loop), history_(history), listener_(loop, [this](tcp::socket socket) {
               read_head(std::make_shared<Stream>(std::move(socket)));
           }) {}
     [[nodiscard]] Address address() const { return listener_.address(); }
@@ -77,6 +82,10 @@
             return read_rest(stream, EarlyStep::Serve);
         }
         stream->response = response_text(status, id, fields + "Server-Seal: s\r\n", body);
+        if (now == EarlyStep::RespondInPieces) {
+            respond_in_pieces(stream, 0, stream->response.size() - body.size());
+            return read_rest(stream, EarlyStep::ReadOn);
+        }
         asio::async_write(stream->socket, asio::buffer(stream->response),
                           [this, stream, now](const error_code&, std::size_t) {
                               if (now == EarlyStep::RespondAndReset) return reset(stream->socket);
@@ -86,6 +95,15 @@
                               read_rest(stream, now);
                           });
     }
+    /// Sends the response up to `end`, then a few bytes of its body at a time.
+    void respond_in_pieces(const StreamPtr& stream, std::size_t begin, std::size_t end) {
+        asio::write(stream->socket, asio::buffer(stream->response.data() + begin, end - begin));
+        if (end == stream->response.size()) return;
+        loop_.add(loop_.now() + kResponsePieceInterval, [this, stream, end] {
+            const std::size_t next = std::min(end + kResponsePieceBytes, stream->response.size());
+            respond_in_pieces(stream, end, next);
+        });
+    }
     void read_rest(const StreamPtr& stream, EarlyStep done) {
         http::async_read(stream->socket, stream->buffer, stream->parser,
                          [this, stream, done](const error_code& error, std::size_t) {
@@ -104,6 +122,7 @@
                           [stream](const error_code&, std::size_t) {});
     }
 
+    EventLoop& loop_;
     History& history_;
     Listener listener_;
 };
@@ -135,12 +154,16 @@
         }
     }
     [[nodiscard]] int arrivals() const { return endpoints[0]->arrivals + endpoints[1]->arrivals; }
-    /// Sends a part of the body at once and the rest 20 ms later. Returns the response's status; 0: none.
-    unsigned upload(const std::string& id, bool idempotent) {
+    /// Sends a part of the body at once and the rest 20 ms later.
+    std::optional<ClientResponse> upload_for_response(const std::string& id, bool idempotent) {
         const std::string body(kBodyBytes, 'u');
         const std::string head = World::request_text(
             id, idempotent, "Content-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n", kTimeoutMs);
-        const auto response = world.send_once(head + body.substr(0, kSentAtOnce), body.substr(kSentAtOnce));
+        return world.send_once(head + body.substr(0, kSentAtOnce), body.substr(kSentAtOnce));
+    }
+    /// Returns the response's status; 0: none.
+    unsigned upload(const std::string& id, bool idempotent) {
+        const auto response = upload_for_response(id, idempotent);
         return response ? response->status : 0;
     }
     /// The same with a body of unknown length, of a request that may be repeated.
@@ -232,6 +255,25 @@
     }
 }
 
+// Guards against an answer of which a part alone is read before the request's last byte, so that its client
+// gets 502.
+TEST_CASE("an early answer that comes in pieces is put together") {
+    for (const std::string status : {"200 OK", "500 Failed"}) {
+        for (const std::size_t body_bytes : {100, 3'000}) {
+            CAPTURE(status);
+            CAPTURE(body_bytes);
+            UploadWorld uploads;
+            uploads.set_first(EarlyStep::RespondInPieces, status, "");
+            for (const auto& endpoint : uploads.endpoints) endpoint->body = std::string(body_bytes, 'b');
+            const auto response = uploads.upload_for_response("a", false);
+            REQUIRE(response);
+            CHECK(std::to_string(response->status) == status.substr(0, 3));
+            CHECK(response->body.size() == body_bytes);
+            CHECK(uploads.world.history.executions["a"] == 1);
+        }
+    }
+}
+
 TEST_CASE("an interim answer in the middle of an upload is not taken for the answer") {
     UploadWorld uploads;
     uploads.set_first(EarlyStep::Continue, "", "");
