--- a/src/mesh_config/explain.cpp
+++ b/src/mesh_config/explain.cpp
@@ -197,7 +197,7 @@
             lines.push_back("service " + cluster.name + ": no route goes there");
     }
     if (config.tenants && config.tenants->empty()) {
-        lines.push_back("tenants: the list is empty, so that only keyless routes are served");
+        lines.emplace_back("tenants: the list is empty, so that only keyless routes are served");
     }
     for (const Tenant& tenant : tenants_of(config)) {
         if (tenant.api_keys.empty())
