Event log: lines are written without threads of a library, and without waiting

What was seen: a controller or proxy that may start no further thread (RLIMIT_NPROC of 1 or 3, 4 of 4 starts) ended by SIGABRT before its first line. One whose standard error is a full pipe that nobody reads stood still at its first line, with its ports open and nothing served, and was deaf to SIGTERM.

Cause: log4cplus starts a pool of four threads in each process, which nothing uses, and throws where the machine refuses one; its appender writes with a blocking write on the one thread of the loop.

Change: event_log writes its lines itself (line_writer): poll() says whether the descriptor takes a line of up to PIPE_BUF, else the line is lost and counted (MG107). The format is the same.

--- a/src/bootstrap/program.h
+++ b/src/bootstrap/program.h
@@ -43,9 +43,8 @@
 [[nodiscard]] std::variant<Settings, ExitCode> start_program(int argc, char** argv,
                                                              const ProgramDescription& program);
 
-/// Ends the process at once, with this code: destructors of static objects do not run. log4cplus joins the
-/// threads of its pool in one of these, and a process that has finished its work must not wait for them until
-/// SIGKILL. To be called last in main(); lines of log are written already.
+/// Ends the process at once, with this code: destructors of static objects do not run, and signals that come
+/// meanwhile find the handlers still in place. To be called last in main(); lines of log are written already.
 [[noreturn]] void exit_process(int code);
 
 /// From the system's random source; odd, hence never 0. For ids that must differ between processes and
--- a/src/event_log/event_catalogue.cpp
+++ b/src/event_log/event_catalogue.cpp
@@ -38,6 +38,11 @@
      "no answer was begun before the shutdown. The line counts them. Unless a client or another proxy "
      "was "
      "frozen or cut off, this must not happen."},
+    {Event::StartDelayed, "MG106", "program.start_delayed", nullptr, Severity::Warning, 30,
+     "The start waits for something that it can't do without and that may come, such as a port that another "
+     "process holds. The line says for what. The process goes on by itself."},
+    {Event::LogLinesLost, "MG107", "program.log_lines_lost", nullptr, Severity::Warning, 60,
+     "Standard error did not take that many lines before this one: nobody read them in time."},
     {Event::ConfigAccepted, "MG201", "config.accepted", "charter.taken", Severity::Info, 60,
      "The controller committed a configuration and acknowledged it to the operator."},
     {Event::ConfigRejected, "MG202", "config.rejected", "charter.refused", Severity::Warning, 60,
--- a/src/event_log/event_log.cpp
+++ b/src/event_log/event_log.cpp
@@ -1,25 +1,25 @@
 #include "event_log/event_log.h"
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
-#include <log4cplus/logger.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
 #include <map>
-#include <memory>
+#include <optional>
+
+#include "event_log/line_writer.h"
 
 namespace martenford::event_log {
 
 namespace {
 
-/// The library's lifetime and the one logger of the process.
+/// The one log of the process.
 struct OpenLog {
-    log4cplus::Initializer initializer;
-    log4cplus::Logger logger;
+    std::string program;
+    LineWriter writer{STDERR_FILENO};
+    std::uint64_t lost_lines = 0;  // since the last line that was written
 };
-OpenLog* open_log = nullptr;  // null until open()
+std::optional<OpenLog> open_log;  // nothing until open()
 
 /// The window in which max_per_minute applies.
 constexpr std::chrono::minutes kRateLimitWindow{1};
@@ -50,30 +50,39 @@
     return false;
 }
 
-log4cplus::LogLevel log_level_of(Severity severity) {
+/// Five characters, so that the columns behind it line up.
+const char* label_of(Severity severity) {
     switch (severity) {
         case Severity::Info:
-            return log4cplus::INFO_LOG_LEVEL;
+            return "INFO ";
         case Severity::Warning:
-            return log4cplus::WARN_LOG_LEVEL;
+            return "WARN ";
         case Severity::Error:
-            return log4cplus::ERROR_LOG_LEVEL;
+            return "ERROR";
+    }
+    return "ERROR";
+}
+
+std::string line_start(const EventDescription& description) {
+    return std::string(label_of(description.severity)) + " " + open_log->program + " " + description.code +
+           " ";
+}
+
+/// Writes a line, after one that counts those that were lost before it.
+void write(std::string line) {
+    if (open_log->lost_lines > 0) {
+        const std::string report =
+            line_start(description_of(Event::LogLinesLost)) +
+            "lines of log could not be written count=" + std::to_string(open_log->lost_lines);
+        if (open_log->writer.write(report)) open_log->lost_lines = 0;
     }
-    return log4cplus::ERROR_LOG_LEVEL;
+    if (!open_log->writer.write(std::move(line))) ++open_log->lost_lines;
 }
 
 }  // namespace
 
 void open(const std::string& program) {
-    static OpenLog log;
-    constexpr bool kToStandardError = true;
-    constexpr bool kFlushEachLine = true;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(kToStandardError, kFlushEachLine));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%-5p %c %m%n"));
-    log.logger = log4cplus::Logger::getInstance(program);
-    log.logger.addAppender(appender);
-    log.logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
-    open_log = &log;
+    open_log.emplace().program = program;
 }
 
 void log_event(Event event, const std::string& text,
@@ -83,10 +92,10 @@
     const EventDescription& description = description_of(event);
     RateLimit& limit = rate_limits[event];
     if (!admit(limit, description.max_per_minute)) return;
-    std::string line = std::string(description.code) + " " + text;
+    std::string line = line_start(description) + text;
     for (const auto& [name, value] : fields) line += " " + std::string(name) + "=" + value;
     if (limit.suppressed > 0) line += " suppressed=" + std::to_string(std::exchange(limit.suppressed, 0));
-    open_log->logger.forcedLog(log_level_of(description.severity), line);
+    write(std::move(line));
 }
 
 }  // namespace martenford::event_log
--- a/src/event_log/event_log.h
+++ b/src/event_log/event_log.h
@@ -1,4 +1,4 @@
-// The log of proxy and controller: numbered events, one line each on standard error through log4cplus:
+// The log of proxy and controller: numbered events, one line each on standard error:
 //
 //   LEVEL program CODE text key=value ...
 //
@@ -21,6 +21,8 @@
     BadSettings,
     Stopped,
     AnswersCut,
+    StartDelayed,
+    LogLinesLost,
     ConfigAccepted,
     ConfigRejected,
     ConfigApplied,
@@ -65,8 +67,9 @@
 /// Opens the log. Called once, before the first log_event(); `program` is the name in each line.
 void open(const std::string& program);
 
-/// Writes one line. Does nothing before open(), or if the event has had max_per_minute lines in the present
-/// minute; the event's next line then ends with "suppressed=<count>".
+/// Writes one line, without waiting: a line that standard error does not take at once is lost and counted
+/// (Event::LogLinesLost). Does nothing before open(), or if the event has had max_per_minute lines in the
+/// present minute; the event's next line then ends with "suppressed=<count>".
 void log_event(Event event, const std::string& text,
                std::initializer_list<std::pair<std::string_view, std::string>> fields = {});
 
--- a/tests/mesh/rig/processes.cpp
+++ b/tests/mesh/rig/processes.cpp
@@ -47,9 +47,6 @@
     return "127." + std::to_string(network) + "." + std::to_string(pid & 0xff) + "." + std::to_string(host);
 }
 
-namespace {
-
-/// Returns the text of a process's settings file.
 std::string settings_text(const Machine& machine, const std::string& data_directory) {
     std::string seeds;
     for (const auto& seed : machine.seeds) seeds += (seeds.empty() ? "\"" : ", \"") + seed + "\"";
@@ -72,6 +69,12 @@
     return text.str();
 }
 
+const char* program_of(const Machine& machine) {
+    return machine.service.empty() ? CONTROLLER : PROXY;
+}
+
+namespace {
+
 /// Starts a program with its settings file; its output is appended to the log file.
 pid_t spawn(const char* program, const std::string& settings, const std::string& log) {
     const pid_t pid = ::fork();
@@ -95,7 +98,7 @@
     if (!is_proxy) std::filesystem::create_directories(base);
     const std::string settings = base + ".toml";
     std::ofstream(settings) << settings_text(machine, base);
-    const pid_t pid = spawn(is_proxy ? PROXY : CONTROLLER, settings, base + ".log");
+    const pid_t pid = spawn(program_of(machine), settings, base + ".log");
     log_offsets_.emplace(machine.name, 0);
     processes_[machine.name] = {pid, Termination::None, Time::max(), nullptr};
 }
--- a/tests/mesh/rig/processes.h
+++ b/tests/mesh/rig/processes.h
@@ -30,6 +30,11 @@
     std::string tables{};   // further tables
 };
 
+/// Returns the text of a process's settings file.
+[[nodiscard]] std::string settings_text(const Machine& machine, const std::string& data_directory);
+/// Returns the path of the program that a machine runs.
+[[nodiscard]] const char* program_of(const Machine& machine);
+
 /// The processes of a test. Destruction kills them and removes their files.
 class Processes {
   public:
