Start: closed standard streams, SIGPIPE and SIGXFSZ are settled before anything else

One started with descriptors 0 to 2 closed had its data file open as 0 and 1 and an event descriptor as 2: output went into them.

Cause: both programs took what they inherit for settled.

Change: prepare_process(), first thing of a start, opens /dev/null for closed streams and ignores SIGPIPE and SIGXFSZ: a write then fails, and each caller of write() knows that already.

--- a/src/bootstrap/program.cpp
+++ b/src/bootstrap/program.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <random>
 
+#include "core/process_setup.h"
 #include "event_log/event_log.h"
 
 #ifdef __SANITIZE_ADDRESS__
@@ -73,6 +74,7 @@
     if (const auto* exit_code = std::get_if<ExitCode>(&parsed)) return *exit_code;
 
     mask_handled_signals(SIG_BLOCK);
+    prepare_process();
     event_log::open(program.name);
     auto loaded = load();
     if (const auto* error = std::get_if<SettingsError>(&loaded)) {
--- a/tests/mesh/startup_test.cpp
+++ b/tests/mesh/startup_test.cpp
@@ -126,6 +126,19 @@
     }
 }
 
+// Guards against an end by SIGPIPE when the log's reader goes away.
+TEST_CASE("log: a program outlives the reader of its standard error") {
+    for (const Machine& machine : both_programs()) {
+        CAPTURE(machine.name);
+        Pipe log = open_pipe();
+        StartedProgram program(machine, [&] { ::dup2(log.writer.number(), STDERR_FILENO); });
+        log.writer.close();
+        REQUIRE(wait_until_it_serves(program, at(machine.ip, Port::Control)));
+        log.reader.close();
+        check_ended_in_order(program.terminate());
+    }
+}
+
 // Guards against a program that stands still, with no port open, since nobody reads its log.
 TEST_CASE("log: a program serves though nobody reads its standard error") {
     for (const Machine& machine : both_programs()) {
@@ -137,3 +150,17 @@
         check_ended_in_order(program.terminate());
     }
 }
+
+// Guards against lines of log in the data file.
+TEST_CASE("start: closed standard streams are not taken by files and sockets") {
+    for (const Machine& machine : both_programs()) {
+        CAPTURE(machine.name);
+        StartedProgram program(machine, [] { ::close_range(STDIN_FILENO, STDERR_FILENO, 0); });
+        REQUIRE(wait_until_it_serves(program, at(machine.ip, Port::Control)));
+        for (const char* stream : {"0", "1", "2"}) {
+            const std::string path = "/proc/" + std::to_string(program.pid()) + "/fd/" + stream;
+            CHECK(std::filesystem::read_symlink(path) == "/dev/null");
+        }
+        check_ended_in_order(program.terminate());
+    }
+}
