Start: a port that somebody holds is waited for

What was seen: each of the six ports, held for a second by a listener or by an outgoing connection, ended the process that wanted it by SIGABRT (12 of 12), at each of its starts.

Cause: bind() threw in a constructor and nobody caught it: a port of the settings was taken for free.

Change: the sockets are opened before the program's parts (core/listening_socket, bootstrap/listen): all or none, so that nobody connects to a program that can't serve, again each 50 ms while the cause may pass (in use, not available yet, no descriptors or memory). MG106 says what is waited for, SIGTERM ends it in order. Another cause, such as a missing right, is one line and exit code 2. An ip_address that is no address is an error of the settings; a controller dereferenced nothing there.

--- a/src/bootstrap/settings.cpp
+++ b/src/bootstrap/settings.cpp
@@ -152,6 +152,8 @@
     const auto& ports = file.internal_ports;
     if (ports.size() != 2 || ports[0] < 1 || ports[1] > 65535 || ports[0] > ports[1])
         return ConfigError{"internal_ports", "a first and a last port are wanted"};
+    if (!parse_address(file.ip_address + ":" + std::to_string(ports[0])))
+        return ConfigError{"ip_address", "an IP address is wanted, not '" + file.ip_address + "'"};
     if (file.limits.file_descriptors < kMinFileDescriptors || file.limits.memory_mb < kMinMemoryMb)
         return ConfigError{"limits", "too small to run in"};
     if (file.beat_interval_ms < 1 || file.beat_interval_ms > kMaxBeatIntervalMs)
--- a/src/control_api/control_api.h
+++ b/src/control_api/control_api.h
@@ -77,8 +77,8 @@
     /// method. Accepts up to `max_connections`.
     ApiServer(EventLoop& loop, std::map<CallName, Handler> handlers, std::size_t max_connections,
               martenford::Counters& counters);
-    /// Throws boost::system::system_error if the address can't be listened on.
-    void listen(const Address& address) { front_.listen(address); }
+    /// Takes over a listening socket.
+    void listen(ListeningSocket socket) { front_.listen(std::move(socket)); }
 
   private:
     // ServerProtocol
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -31,7 +31,7 @@
 
 }  // namespace
 
-Controller::Controller(const bootstrap::Settings& settings, OpenedRegister opened)
+Controller::Controller(const bootstrap::Settings& settings, OpenedRegister opened, ControllerSockets sockets)
     : settings_(settings),
       storage_(std::move(opened.storage)),
       self_(own_member(settings, opened.state.self_id)),
@@ -59,13 +59,13 @@
       operator_api_(loop_,
                     operator_call_handlers(loop_, config_service_, [this] { raft_driver_.process_output(); }),
                     kMaxOperatorConnections, counters_),
-      inbound_(loop_, *parse_address(self_.address),
+      inbound_(loop_, std::move(sockets.peers),
                {[this](ConnectionId connection, rpc::Message&& message) {
                     on_inbound_message(connection, std::move(message));
                 },
                 [this](ConnectionId connection) { watchers_.remove(connection); }}) {
     connect_config_service(config_service_, settings.control->port());
-    operator_api_.listen(*settings.control);
+    operator_api_.listen(std::move(sockets.operators));
     for (const raft::Member& voter : raft_.persistent_state().last_entry.voters) {
         peers_.add_member(loop_.now(), voter);
     }
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -27,11 +27,17 @@
 /// Interval of the periodic work: a fifth of Raft's heartbeat, so that its timers fire close to their times.
 inline constexpr Duration kTickInterval = 20ms;
 
+/// Both listen.
+struct ControllerSockets {
+    ListeningSocket peers;      ///< the first of `internal_ports`: proxies and other controllers
+    ListeningSocket operators;  ///< `listen_addrs.control`
+};
+
 class Controller {
   public:
-    /// Listens and starts its timers; `settings` outlives it, and `listen_addrs.control` is set. Throws
-    /// boost::system::system_error if a port can't be listened on.
-    Controller(const bootstrap::Settings& settings, OpenedRegister opened);
+    /// Serves on the sockets and starts its timers; `settings` outlives it, and `listen_addrs.control` is
+    /// set.
+    Controller(const bootstrap::Settings& settings, OpenedRegister opened, ControllerSockets sockets);
     Controller(const Controller&) = delete;
     Controller& operator=(const Controller&) = delete;
 
--- a/src/controller/inbound_connections.cpp
+++ b/src/controller/inbound_connections.cpp
@@ -4,9 +4,9 @@
 
 namespace martenford::controller {
 
-InboundConnections::InboundConnections(EventLoop& loop, const Address& listen_address, Handlers handlers)
+InboundConnections::InboundConnections(EventLoop& loop, ListeningSocket socket, Handlers handlers)
     : handlers_(std::move(handlers)),
-      listener_(loop, listen_address, [this](const auto& channel) { accept(channel); }) {}
+      listener_(loop, std::move(socket), [this](const auto& channel) { accept(channel); }) {}
 
 void InboundConnections::send(ConnectionId connection, const rpc::Message& message) {
     const auto found = channels_.find(connection);
--- a/src/controller/inbound_connections.h
+++ b/src/controller/inbound_connections.h
@@ -6,7 +6,7 @@
 #include <memory>
 
 #include "controller/watchers.h"
-#include "core/address.h"
+#include "core/listening_socket.h"
 #include "core/loop.h"
 #include "rpc/channel.h"
 
@@ -22,8 +22,8 @@
         std::function<void(ConnectionId)> on_closed;
     };
 
-    /// Listens from now on. Throws boost::system::system_error if it can't.
-    InboundConnections(EventLoop& loop, const Address& listen_address, Handlers handlers);
+    /// Accepts from now on.
+    InboundConnections(EventLoop& loop, ListeningSocket socket, Handlers handlers);
 
     /// No-op where the connection is gone.
     void send(ConnectionId connection, const rpc::Message& message);
--- a/src/http1/listener.cpp
+++ b/src/http1/listener.cpp
@@ -50,19 +50,19 @@
 HttpListener::~HttpListener() = default;
 
 void HttpListener::listen(const Address& address) {
-    acceptor_.open(address.protocol());
-    acceptor_.set_option(
-        asio::socket_base::reuse_address(true));  // a restarted process can bind its address at once
-    // A successor process may listen on the same address.
-    acceptor_.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
-    acceptor_.bind(address);
-    acceptor_.listen(asio::socket_base::max_listen_connections);
-    acceptor_.non_blocking(true);
-    accept();
+    listen(ListeningSocket::open_or_throw(address, PortSharing::WithSuccessor));
+}
+
+void HttpListener::listen(ListeningSocket socket) {
+    accept_on(socket.protocol(), socket.release());
 }
 
 void HttpListener::adopt(int descriptor) {
-    acceptor_.assign(asio::ip::tcp::v4(), descriptor);
+    accept_on(asio::ip::tcp::v4(), descriptor);
+}
+
+void HttpListener::accept_on(asio::ip::tcp protocol, int descriptor) {
+    acceptor_.assign(protocol, descriptor);
     acceptor_.non_blocking(true);
     accept();
 }
--- a/src/http1/listener.h
+++ b/src/http1/listener.h
@@ -13,6 +13,7 @@
 #include "core/address.h"
 #include "core/counters.h"
 #include "core/engine.h"
+#include "core/listening_socket.h"
 #include "core/loop.h"
 
 namespace martenford {
@@ -37,10 +38,11 @@
                  std::size_t max_connections, std::function<bool()> ready, Counters& counters);
     ~HttpListener();
 
-    /// Listens with SO_REUSEPORT, beside other processes on the same address. Throws
-    /// boost::system::system_error if that fails.
+    /// Listens with PortSharing::WithSuccessor. Throws boost::system::system_error if that fails.
     void listen(const Address& address);
-    /// Takes over a listening socket, with its queue of pending connections.
+    /// Takes over a listening socket.
+    void listen(ListeningSocket socket);
+    /// Takes over the listening socket of another process, with its queue of pending connections.
     void adopt(int descriptor);
     bool listening() const { return acceptor_.is_open(); }
     int native_handle() { return acceptor_.native_handle(); }
@@ -89,6 +91,7 @@
     /// Fails all requests that have no answer yet: the drain is over.
     void give_up();
 
+    void accept_on(asio::ip::tcp protocol, int descriptor);
     void accept();
     void accepted(const boost::system::error_code& error, asio::ip::tcp::socket socket);
     /// Closes one connection to make room. Returns false if none can be closed now.
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -1,13 +1,18 @@
 // martenford-proxy: start-up of the data plane's process.
+#include <utility>
 #include <variant>
 #include <vector>
 
+#include "bootstrap/listen.h"
 #include "bootstrap/program.h"
 #include "proxy/proxy.h"
 
 namespace {
 
+using martenford::ListeningSocket;
+using martenford::PortSharing;
 using martenford::bootstrap::ExitCode;
+using martenford::bootstrap::ListenAddress;
 using martenford::bootstrap::RequiredSetting;
 using martenford::bootstrap::Settings;
 
@@ -18,13 +23,27 @@
             {settings.control.has_value(), "listen_addrs.control"}};
 }
 
+/// In the order of ProxySockets.
+std::vector<ListenAddress> listen_addresses(const Settings& settings) {
+    return {{"listen_addrs.outbound", *settings.outbound, PortSharing::WithSuccessor},
+            {"listen_addrs.inbound", *settings.inbound, PortSharing::WithSuccessor},
+            {"listen_addrs.control", *settings.control, PortSharing::WithSuccessor},
+            {"listen_addrs.readiness", *settings.readiness, PortSharing::WithSuccessor}};
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
     const auto started = martenford::bootstrap::start_program(
         argc, argv, {"martenford-proxy", "the data plane, beside one endpoint", required_settings});
     if (const auto* exit_code = std::get_if<ExitCode>(&started)) return exit_code->value;
-    martenford::proxy::Proxy proxy(std::get<Settings>(started));
+    const auto& settings = std::get<Settings>(started);
+    auto listening = martenford::bootstrap::listen_on(listen_addresses(settings));
+    if (const auto* exit_code = std::get_if<ExitCode>(&listening)) return exit_code->value;
+    auto& sockets = std::get<std::vector<ListeningSocket>>(listening);
+
+    martenford::proxy::Proxy proxy(settings, {std::move(sockets[0]), std::move(sockets[1]),
+                                              std::move(sockets[2]), std::move(sockets[3])});
     proxy.run();
     // Before the proxy is destroyed: without its handlers a late SIGHUP or SIGTERM would end the process by
     // the default action.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -42,7 +42,7 @@
 
 }  // namespace
 
-Proxy::Proxy(const bootstrap::Settings& settings)
+Proxy::Proxy(const bootstrap::Settings& settings, ProxySockets sockets)
     : settings_(settings),
       incarnation_(bootstrap::random_nonzero_id()),
       outbound_(loop_, settings, [this] { return controllers_.view().entries().size(); }),
@@ -60,10 +60,10 @@
           [&settings](const std::string& address) { return bootstrap::is_seed_address(settings, address); },
           *this),
       shutdown_({loop_, outbound_, inbound_, local_endpoint_}, settings.bounds.grace) {
-    outbound_.listen(*settings.outbound);
-    inbound_.listen(*settings.inbound);
-    control_server_.listen(*settings.control);
-    readiness_server_.listen(*settings.readiness);
+    outbound_.listen(std::move(sockets.outbound));
+    inbound_.listen(std::move(sockets.inbound));
+    control_server_.listen(std::move(sockets.control));
+    readiness_server_.listen(std::move(sockets.readiness));
     inbound_.on_attempt_end([this](decision::Status status) { local_endpoint_.handle_attempt_end(status); });
     connect_seeds(settings);
     tick();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -20,12 +20,19 @@
 
 namespace martenford::proxy {
 
+/// The sockets of `listen_addrs`, each listening.
+struct ProxySockets {
+    ListeningSocket outbound;
+    ListeningSocket inbound;
+    ListeningSocket control;
+    ListeningSocket readiness;
+};
+
 class Proxy : private ControllerObserver {
   public:
-    /// Listens on all ports and connects to the seeds. The settings outlive it and must have the `inbound`,
-    /// `outbound`, `readiness` and `control` addresses. Throws boost::system::system_error if one of them
-    /// can't be listened on.
-    explicit Proxy(const bootstrap::Settings& settings);
+    /// Serves on the sockets and connects to the seeds. The settings outlive it and must have the `inbound`,
+    /// `outbound`, `readiness` and `control` addresses.
+    Proxy(const bootstrap::Settings& settings, ProxySockets sockets);
     /// Returns once SIGTERM or SIGINT has ended it gracefully.
     void run() { loop_.run(); }
 
--- a/src/proxy/traffic.h
+++ b/src/proxy/traffic.h
@@ -46,8 +46,8 @@
     OutboundTraffic(EventLoop& loop, const bootstrap::Settings& settings,
                     std::function<std::size_t()> proxy_count);
 
-    /// Throws boost::system::system_error where it can't listen.
-    void listen(const Address& address) { listener_.listen(address); }
+    /// Takes over a listening socket.
+    void listen(ListeningSocket socket) { listener_.listen(std::move(socket)); }
     /// Finishes what was accepted, then calls `done` once. No request is given up while an endpoint may be
     /// working on it.
     void drain(std::function<void()> done);
@@ -90,8 +90,8 @@
     InboundTraffic(EventLoop& loop, const bootstrap::Settings& settings, std::uint64_t incarnation,
                    HopServerProtocol::RoutesInForce routes);
 
-    /// Throws boost::system::system_error where it can't listen.
-    void listen(const Address& address) { listener_.listen(address); }
+    /// Takes over a listening socket.
+    void listen(ListeningSocket socket) { listener_.listen(std::move(socket)); }
     /// Finishes what was accepted, then calls `done` once.
     void drain(std::function<void()> done) { listener_.drain(std::move(done), false); }
     /// What other proxies are still owed.
--- a/src/rpc/listener.cpp
+++ b/src/rpc/listener.cpp
@@ -13,15 +13,17 @@
 
 }  // namespace
 
-Listener::Listener(EventLoop& loop, const Address& address, OnAccepted on_accepted)
+Listener::Listener(EventLoop& loop, ListeningSocket socket, OnAccepted on_accepted)
     : loop_(loop), on_accepted_(std::move(on_accepted)), acceptor_(loop.io()), retry_timer_(loop) {
-    acceptor_.open(address.protocol());
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    acceptor_.bind(address);
-    acceptor_.listen(asio::socket_base::max_listen_connections);
+    const auto protocol = socket.protocol();
+    acceptor_.assign(protocol, socket.release());
     accept();
 }
 
+Listener::Listener(EventLoop& loop, const Address& address, OnAccepted on_accepted)
+    : Listener(loop, ListeningSocket::open_or_throw(address, PortSharing::Exclusive),
+               std::move(on_accepted)) {}
+
 void Listener::accept() {
     acceptor_.async_accept([this](const error_code& error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted) return;  // `this` may be destroyed
--- a/src/rpc/listener.h
+++ b/src/rpc/listener.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "core/address.h"
+#include "core/listening_socket.h"
 #include "core/loop.h"
 #include "rpc/channel.h"
 
@@ -23,7 +24,9 @@
     /// connection.
     using OnAccepted = std::function<void(std::shared_ptr<Channel>)>;
 
-    /// Starts to listen. Throws boost::system::system_error if the address cannot be listened on.
+    /// Starts to accept.
+    Listener(EventLoop& loop, ListeningSocket socket, OnAccepted on_accepted);
+    /// Listens first. Throws boost::system::system_error if the address cannot be listened on.
     Listener(EventLoop& loop, const Address& address, OnAccepted on_accepted);
 
   private:
--- a/tests/mesh/startup_test.cpp
+++ b/tests/mesh/startup_test.cpp
@@ -8,6 +8,8 @@
 #include <unistd.h>
 
 #include <array>
+#include <boost/system/error_code.hpp>
+#include <cerrno>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -17,6 +19,7 @@
 #include <vector>
 
 #include "core/address.h"
+#include "core/listening_socket.h"
 #include "mesh/rig/started_program.h"
 
 using namespace martenford;
@@ -26,6 +29,7 @@
 namespace {
 
 const std::string kListening = "MG101";
+const std::string kStartDelayed = "MG106";
 
 /// Short, so that each end in order is.
 const std::string kBounds = "bounds = [\"drain_ms=100\", \"grace_s=1\"]\n";
@@ -65,6 +69,33 @@
     int number_;
 };
 
+/// A socket that is bound to the address.
+Descriptor bound_socket(const std::string& address) {
+    Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    const Address to = *parse_address(address);
+    REQUIRE(::bind(socket.number(), to.data(), static_cast<socklen_t>(to.size())) == 0);
+    return socket;
+}
+
+Descriptor listener_on(const std::string& address) {
+    Descriptor socket = bound_socket(address);
+    REQUIRE(::listen(socket.number(), 1) == 0);
+    return socket;
+}
+
+/// A connection to `peer` from the address, as a program has that was given this port by the kernel.
+Descriptor connection_from(const std::string& address, const std::string& peer) {
+    Descriptor socket = bound_socket(address);
+    const Address to = *parse_address(peer);
+    REQUIRE(::connect(socket.number(), to.data(), static_cast<socklen_t>(to.size())) == 0);
+    return socket;
+}
+
+std::vector<Port> ports_of(const Machine& machine) {
+    if (machine.service.empty()) return {Port::Control, Port::Mesh};
+    return {Port::Control, Port::Inbound, Port::Outbound, Port::Readiness};
+}
+
 struct Pipe {
     Descriptor reader;
     Descriptor writer;
@@ -84,6 +115,12 @@
     ::fcntl(pipe, F_SETFL, 0);
 }
 
+bool listens(const std::string& address) {
+    const Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    const Address to = *parse_address(address);
+    return ::connect(socket.number(), to.data(), static_cast<socklen_t>(to.size())) == 0;
+}
+
 /// Whether an HTTP request is answered within 1 s, whatever the answer is.
 bool answers(const std::string& address) {
     const Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
@@ -164,3 +201,68 @@
         check_ended_in_order(program.terminate());
     }
 }
+
+// Guards against an end at the start, SIGABRT, while another process holds a port.
+TEST_CASE("start: a port that a listener holds is waited for") {
+    for (const Machine& machine : both_programs()) {
+        for (const Port port : ports_of(machine)) {
+            CAPTURE(machine.name);
+            CAPTURE(at(machine.ip, port));
+            Descriptor holder = listener_on(at(machine.ip, port));
+            StartedProgram program(machine);
+            CHECK(program.wait_for_log(kStartDelayed));
+            CHECK(program.log().find(at(machine.ip, port)) != std::string::npos);
+            holder.close();
+            CHECK(program.wait_for_log(kListening));
+            check_ended_in_order(program.terminate());
+        }
+    }
+}
+
+TEST_CASE("start: a port that an outgoing connection holds is waited for") {
+    const std::string peer = at(Processes::ip(3), Port::App);
+    const Descriptor listener = listener_on(peer);
+    for (const Machine& machine : both_programs()) {
+        CAPTURE(machine.name);
+        Descriptor holder = connection_from(at(machine.ip, Port::Control), peer);
+        StartedProgram program(machine);
+        CHECK(program.wait_for_log(kStartDelayed));
+        // Reset, since a connection that is closed in order keeps the port for a minute.
+        const linger reset{1, 0};
+        ::setsockopt(holder.number(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+        holder.close();
+        CHECK(program.wait_for_log(kListening));
+        check_ended_in_order(program.terminate());
+    }
+}
+
+TEST_CASE("start: nobody connects to a program that waits for one of its ports") {
+    const Machine machine = proxy();
+    const Descriptor holder = listener_on(at(machine.ip, Port::Readiness));
+    StartedProgram program(machine);
+    REQUIRE(program.wait_for_log(kStartDelayed));
+    std::this_thread::sleep_for(200ms);
+    int connected = 0;
+    for (int i = 0; i < 100; ++i) connected += listens(at(machine.ip, Port::Outbound)) ? 1 : 0;
+    CHECK(connected < 10);  // an attempt to listen on all of them may be under way
+}
+
+TEST_CASE("start: SIGTERM ends a program that waits for a port, in order") {
+    for (const Machine& machine : both_programs()) {
+        CAPTURE(machine.name);
+        const Descriptor holder = listener_on(at(machine.ip, Port::Control));
+        StartedProgram program(machine);
+        REQUIRE(program.wait_for_log(kStartDelayed));
+        program.signal(SIGHUP);
+        check_ended_in_order(program.terminate());
+    }
+}
+
+TEST_CASE("start: what lasts until somebody changes the settings is not waited for") {
+    const auto& system = boost::system::system_category();
+    CHECK(may_pass({EADDRINUSE, system}));
+    CHECK(may_pass({EADDRNOTAVAIL, system}));
+    CHECK(may_pass({EMFILE, system}));
+    CHECK_FALSE(may_pass({EACCES, system}));
+    CHECK_FALSE(may_pass({EAFNOSUPPORT, system}));
+}
