Controller: SIGTERM ends a start that waits for its disk

What was seen: a controller whose data directory is not there, or refuses, stayed until SIGKILL.

Cause: open_register() tried for ever while the signals are held back; its page said the opposite.

Change: between two attempts it looks for a pending SIGTERM or SIGINT (bootstrap/startup_wait, as the wait for ports) and ends with 0.

--- a/src/controller/main.cpp
+++ b/src/controller/main.cpp
@@ -41,13 +41,14 @@
     const auto& settings = std::get<bootstrap::Settings>(started);
 
     auto opened = controller::open_register(settings.data_directory, start_conditions(settings));
+    if (const auto* exit_code = std::get_if<bootstrap::ExitCode>(&opened)) return exit_code->value;
     // Only then: nobody is to connect to a controller that waits for its disk.
     auto listening = bootstrap::listen_on(listen_addresses(settings));
     if (const auto* exit_code = std::get_if<bootstrap::ExitCode>(&listening)) return exit_code->value;
     auto& sockets = std::get<std::vector<ListeningSocket>>(listening);
 
     {
-        controller::Controller controller(settings, std::move(opened),
+        controller::Controller controller(settings, std::get<controller::OpenedRegister>(std::move(opened)),
                                           {std::move(sockets[0]), std::move(sockets[1])});
         controller.run();
     }
--- a/src/controller/register_storage.cpp
+++ b/src/controller/register_storage.cpp
@@ -1,9 +1,9 @@
 #include "controller/register_storage.h"
 
-#include <thread>
 #include <variant>
 
 #include "bootstrap/program.h"
+#include "bootstrap/startup_wait.h"
 #include "event_log/event_log.h"
 #include "rpc/messages.h"
 
@@ -61,11 +61,14 @@
     return std::nullopt;
 }
 
-OpenedRegister open_register(const std::string& directory, const StartConditions& conditions) {
+std::variant<OpenedRegister, bootstrap::ExitCode> open_register(const std::string& directory,
+                                                                const StartConditions& conditions) {
     for (;;) {
         auto opened = try_open_register(directory, conditions);
-        if (auto* opened_register = std::get_if<OpenedRegister>(&opened)) return std::move(*opened_register);
-        std::this_thread::sleep_for(kOpenRetryDelay);
+        if (auto* opened_register = std::get_if<OpenedRegister>(&opened)) {
+            return std::move(*opened_register);
+        }
+        if (!bootstrap::wait_unless_terminated(kOpenRetryDelay)) return bootstrap::ExitCode{0};
     }
 }
 
--- a/src/controller/register_storage.h
+++ b/src/controller/register_storage.h
@@ -5,7 +5,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 
+#include "bootstrap/program.h"
 #include "controller/initial_state.h"
 #include "durable_store/durable_store.h"
 #include "raft/raft_node.h"
@@ -34,8 +36,9 @@
 };
 
 /// Opens the store below `directory` and gives the state to start with, which is on disk when this returns.
-/// Logs what was found. A full or hanging disk is waited for, without end: a controller can do nothing
-/// without it, and SIGTERM still ends the process here.
-[[nodiscard]] OpenedRegister open_register(const std::string& directory, const StartConditions& conditions);
+/// Logs what was found. A full disk, or a directory that is not there yet, is waited for without end: a
+/// controller can do nothing without it. Returns exit code 0 if SIGTERM or SIGINT comes meanwhile.
+[[nodiscard]] std::variant<OpenedRegister, bootstrap::ExitCode> open_register(
+    const std::string& directory, const StartConditions& conditions);
 
 }  // namespace martenford::controller
--- a/tests/mesh/startup_test.cpp
+++ b/tests/mesh/startup_test.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <boost/system/error_code.hpp>
 #include <cerrno>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -121,17 +122,22 @@
     return ::connect(socket.number(), to.data(), static_cast<socklen_t>(to.size())) == 0;
 }
 
-/// Whether an HTTP request is answered within 1 s, whatever the answer is.
-bool answers(const std::string& address) {
+/// Sends a request on a connection of its own; returns the status of its answer, or 0.
+int status_of(const std::string& address, const std::string& request) {
     const Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
     const timeval limit{1, 0};
     ::setsockopt(socket.number(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
     const Address to = *parse_address(address);
-    if (::connect(socket.number(), to.data(), static_cast<socklen_t>(to.size())) != 0) return false;
-    const std::string request = "GET /unknown HTTP/1.1\r\nHost: h\r\n\r\n";
+    if (::connect(socket.number(), to.data(), static_cast<socklen_t>(to.size())) != 0) return 0;
     ::send(socket.number(), request.data(), request.size(), MSG_NOSIGNAL);
-    char byte = 0;
-    return ::recv(socket.number(), &byte, 1, 0) == 1;
+    std::array<char, 13> head{};  // "HTTP/1.1 200" and the terminator
+    if (::recv(socket.number(), head.data(), 12, MSG_WAITALL) != 12) return 0;
+    return std::atoi(head.data() + 9);
+}
+
+/// Whether an HTTP request is answered within 1 s, whatever the answer is.
+bool answers(const std::string& address) {
+    return status_of(address, "GET /unknown HTTP/1.1\r\nHost: h\r\n\r\n") != 0;
 }
 
 bool wait_until_it_serves(StartedProgram& program, const std::string& address) {
@@ -266,3 +272,26 @@
     CHECK_FALSE(may_pass({EACCES, system}));
     CHECK_FALSE(may_pass({EAFNOSUPPORT, system}));
 }
+
+// Guards against a controller that is deaf to SIGTERM while it waits for its disk.
+TEST_CASE("start: SIGTERM ends a controller whose data directory is not there, in order") {
+    StartedProgram program(controller());
+    REQUIRE(program.wait_for_log(kListening));
+    REQUIRE(program.terminate().in_time);
+    std::filesystem::remove_all(program.data_directory());
+    program.start_again(controller());
+    REQUIRE(program.wait_for_log("MG401"));
+    check_ended_in_order(program.terminate());
+}
+
+TEST_CASE("start: a data directory that comes late is used") {
+    StartedProgram program(controller());
+    REQUIRE(program.wait_for_log(kListening));
+    REQUIRE(program.terminate().in_time);
+    std::filesystem::remove_all(program.data_directory());
+    program.start_again(controller());
+    REQUIRE(program.wait_for_log("MG401"));
+    std::filesystem::create_directory(program.data_directory());
+    CHECK(wait_until_it_serves(program, at(controller().ip, Port::Control)));
+    check_ended_in_order(program.terminate());
+}
