Controller: a torn first start is taken up by the next start

What was seen: two or three of three controllers that end in the first milliseconds of the first start of all, and are started again, leave a system that never accepts its first configuration.

Cause: the platform says first_boot once. A process that ended before its state was saved returned as a new member without a vote, and no majority of the first voters was left. Each end by itself at a start (ports, threads, signals) led there, in two machines at once.

Change: the first trace of a first boot on the disk is a record of its seeds (first_boot), written whole by a rename and removed once a state is saved. A start that finds it beside an empty store is that of a first voter: its store never held a state, so it never gave a vote. A record beside a saved state, or not whole, counts for nothing.

Left: a process that is killed before it has left that trace (the kernel and the loader take 2 to 3 ms of a start here), and a loss of power there.

--- a/src/controller/register_storage.cpp
+++ b/src/controller/register_storage.cpp
@@ -1,9 +1,11 @@
 #include "controller/register_storage.h"
 
+#include <filesystem>
 #include <variant>
 
 #include "bootstrap/program.h"
 #include "bootstrap/startup_wait.h"
+#include "controller/first_boot_record.h"
 #include "event_log/event_log.h"
 #include "rpc/messages.h"
 
@@ -34,6 +36,23 @@
     }
 }
 
+bool has_store(const std::string& directory) {
+    std::error_code ignored;
+    return std::filesystem::exists(directory + "/" + durable_store::kDatabaseFileName, ignored);
+}
+
+/// Records a first boot that begins now, or returns the conditions of one that an earlier process began and
+/// did not complete. That process has saved no state, and so has given no vote.
+StartConditions with_first_boot_record(const std::string& directory, const StartConditions& conditions) {
+    if (conditions.first_boot) {
+        if (!has_store(directory)) write_first_boot_record(directory, {conditions.seed_addresses});
+        return conditions;
+    }
+    const auto record = read_first_boot_record(directory);
+    if (!record) return conditions;
+    return {conditions.own_address, record->seed_addresses, true};
+}
+
 std::variant<OpenedRegister, StorageError> try_open_register(const std::string& directory,
                                                              const StartConditions& conditions) {
     auto opened = DurableStore::open(directory, kStoreMapBytes);
@@ -63,9 +82,11 @@
 
 std::variant<OpenedRegister, bootstrap::ExitCode> open_register(const std::string& directory,
                                                                 const StartConditions& conditions) {
+    const StartConditions conditions_on_disk = with_first_boot_record(directory, conditions);
     for (;;) {
-        auto opened = try_open_register(directory, conditions);
+        auto opened = try_open_register(directory, conditions_on_disk);
         if (auto* opened_register = std::get_if<OpenedRegister>(&opened)) {
+            remove_first_boot_record(directory);
             return std::move(*opened_register);
         }
         if (!bootstrap::wait_unless_terminated(kOpenRetryDelay)) return bootstrap::ExitCode{0};
--- /dev/null
+++ b/tests/mesh/first_boot_test.cpp
@@ -0,0 +1,90 @@
+// The first start of all, torn: a controller that ended before it had saved its first state.
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "controller/first_boot_record.h"
+#include "controller/register_storage.h"
+
+using namespace martenford;
+using namespace martenford::controller;
+
+namespace {
+
+const std::vector<std::string> kSeeds{"10.0.0.1:7640", "10.0.0.2:7640", "10.0.0.3:7640"};
+const std::vector<std::string> kLaterSeeds{"10.0.0.1:7640", "10.0.0.8:7640", "10.0.0.9:7640"};
+
+class DataDirectory {
+  public:
+    DataDirectory() {
+        std::string path = (std::filesystem::temp_directory_path() / "first-boot-XXXXXX").string();
+        path_ = ::mkdtemp(path.data());
+    }
+    ~DataDirectory() { std::filesystem::remove_all(path_); }
+    DataDirectory(const DataDirectory&) = delete;
+    DataDirectory& operator=(const DataDirectory&) = delete;
+
+    [[nodiscard]] const std::string& path() const { return path_; }
+    /// A start of the first seed's controller.
+    [[nodiscard]] raft::PersistentState open(const std::vector<std::string>& seeds, bool first_boot) const {
+        auto opened = open_register(path_, {kSeeds[0], seeds, first_boot});
+        REQUIRE(std::holds_alternative<OpenedRegister>(opened));
+        return std::get<OpenedRegister>(std::move(opened)).state;
+    }
+
+  private:
+    std::string path_;
+};
+
+std::vector<std::string> voter_addresses(const raft::PersistentState& state) {
+    std::vector<std::string> addresses;
+    for (const raft::Member& voter : state.last_entry.voters) addresses.push_back(voter.address);
+    return addresses;
+}
+
+}  // namespace
+
+// Guards against a system that never accepts its first configuration: two of three controllers ended in the
+// first milliseconds of the first start, and their voters were gone for good.
+TEST_CASE("first boot: a start that ended before its state was saved is taken up by the next") {
+    const raft::PersistentState undisturbed = DataDirectory().open(kSeeds, true);
+    const DataDirectory directory;
+    write_first_boot_record(directory.path(), {kSeeds});
+    const raft::PersistentState state = directory.open(kLaterSeeds, false);
+    CHECK(state.self_id == undisturbed.self_id);
+    CHECK(voter_addresses(state) == kSeeds);
+    CHECK_FALSE(read_first_boot_record(directory.path()));
+    CHECK(directory.open(kLaterSeeds, false).self_id == undisturbed.self_id);
+}
+
+TEST_CASE("first boot: an empty disk without a record is that of a new member") {
+    const DataDirectory directory;
+    CHECK(directory.open(kSeeds, false).last_entry.voters.empty());
+}
+
+TEST_CASE("first boot: a record beside a saved state counts for nothing") {
+    const DataDirectory directory;
+    const raft::PersistentState new_member = directory.open(kSeeds, false);
+    write_first_boot_record(directory.path(), {kSeeds});
+    const raft::PersistentState state = directory.open(kSeeds, false);
+    CHECK(state.self_id == new_member.self_id);
+    CHECK(state.last_entry.voters.empty());
+    CHECK_FALSE(read_first_boot_record(directory.path()));
+}
+
+TEST_CASE("first boot: a record that is not whole counts for nothing") {
+    const DataDirectory directory;
+    write_first_boot_record(directory.path(), {kSeeds});
+    const std::string path = directory.path() + "/" + kFirstBootFileName;
+    const auto size = std::filesystem::file_size(path);
+    for (std::uintmax_t length = 0; length + 1 < size; ++length) {
+        std::filesystem::resize_file(path, length);
+        CHECK_FALSE(read_first_boot_record(directory.path()));
+        write_first_boot_record(directory.path(), {kSeeds});
+    }
+}
--- a/tests/mesh/startup_test.cpp
+++ b/tests/mesh/startup_test.cpp
@@ -14,6 +14,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <memory>
 #include <string>
 #include <thread>
 #include <utility>
@@ -140,6 +141,24 @@
     return status_of(address, "GET /unknown HTTP/1.1\r\nHost: h\r\n\r\n") != 0;
 }
 
+/// Sends a first configuration to one controller after the other until it is acknowledged.
+bool accepts_first_configuration(const std::vector<Machine>& controllers, std::chrono::seconds limit) {
+    const std::string body =
+        R"({"version":"00000001","base_version":"00000000","listeners":[],"clusters":[]})";
+    const std::string request =
+        "POST /v1/configuration/replace HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n"
+        "Content-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body;
+    const auto give_up_at = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < give_up_at) {
+        for (const Machine& machine : controllers) {
+            if (status_of(at(machine.ip, Port::Control), request) == 200) return true;
+        }
+        std::this_thread::sleep_for(50ms);
+    }
+    return false;
+}
+
 bool wait_until_it_serves(StartedProgram& program, const std::string& address) {
     const auto give_up_at = std::chrono::steady_clock::now() + StartedProgram::kMaxWait;
     while (!answers(address)) {
@@ -295,3 +314,44 @@
     CHECK(wait_until_it_serves(program, at(controller().ip, Port::Control)));
     check_ended_in_order(program.terminate());
 }
+
+namespace {
+
+/// Whether the controller has left its first trace on its disk.
+bool has_begun(const StartedProgram& program) {
+    const std::string directory = program.data_directory();
+    return std::filesystem::exists(directory + "/first_boot") ||
+           std::filesystem::exists(directory + "/word.mdb");
+}
+
+}  // namespace
+
+// Guards against a system that never accepts a configuration: two or three of three controllers end while
+// they start for the first time of all, and are started again with `first_boot = false`.
+TEST_CASE("first start: controllers that end at their first trace on disk are voters when they return") {
+    std::vector<Machine> machines;
+    for (const std::size_t host : {11, 12, 13}) {
+        machines.push_back({.name = "c" + std::to_string(host), .ip = Processes::ip(host), .top = kBounds});
+    }
+    for (Machine& machine : machines) {
+        for (const Machine& seed : machines) machine.seeds.push_back(at(seed.ip, Port::Control));
+    }
+    for (const std::size_t killed : {2, 3}) {
+        CAPTURE(killed);
+        std::vector<std::unique_ptr<StartedProgram>> programs;
+        for (std::size_t i = 0; i < machines.size(); ++i) {
+            programs.push_back(std::make_unique<StartedProgram>(machines[i]));
+            if (i >= killed) continue;
+            while (!has_begun(*programs[i])) {
+            }
+            programs[i]->signal(SIGKILL);
+            programs[i]->wait_for_exit();
+        }
+        for (std::size_t i = 0; i < killed; ++i) {
+            Machine again = machines[i];
+            again.first_boot = false;
+            programs[i]->start_again(again);
+        }
+        CHECK(accepts_first_configuration(machines, 10s));
+    }
+}
