Settings: a file that is half written is read again, at the start and at SIGHUP

What was seen: a settings file whose second half came 0.2 s later ended both programs with 2, at each of their starts; at SIGHUP it was passed over without a word, and the new seeds with it.

Cause: the file was taken for whole whenever it is read.

Change: a file that can't be used is read again for 1 s (MG106 says so), then it is one line (MG103) and exit code 2 as before; SIGTERM ends the wait with 0. SIGTERM, SIGINT and SIGHUP are held back before the command line is looked at.

Not met: a file that is cut at the end of a line and is valid all the same.

--- a/src/bootstrap/program.cpp
+++ b/src/bootstrap/program.cpp
@@ -7,7 +7,9 @@
 #include <cstdlib>
 #include <iostream>
 #include <random>
+#include <utility>
 
+#include "bootstrap/startup_wait.h"
 #include "core/process_setup.h"
 #include "event_log/event_log.h"
 
@@ -63,6 +65,43 @@
     return action;
 }
 
+ExitCode bad_settings(const std::string& what) {
+    log_event(Event::BadSettings, what);
+    return {kExitBadSettings};
+}
+
+/// Loads the settings, and checks that those that the program requires are set.
+std::variant<Settings, SettingsError> load_all_required(const ProgramDescription& program) {
+    auto loaded = load();
+    const auto* settings = std::get_if<Settings>(&loaded);
+    if (settings == nullptr) return loaded;
+    for (const RequiredSetting& required : program.required_settings(*settings)) {
+        if (!required.is_set) return SettingsError{std::string(required.field) + ": it is missing"};
+    }
+    return loaded;
+}
+
+/// The same for a start: a file that can't be used may be one that is being written at this moment.
+std::variant<Settings, ExitCode> wait_for_settings(const ProgramDescription& program) {
+    const Time give_up_at = EventLoop::monotonic() + kSettingsRetryTime;
+    bool is_wait_logged = false;
+    for (;;) {
+        auto loaded = load_all_required(program);
+        if (auto* settings = std::get_if<Settings>(&loaded)) return std::move(*settings);
+        const std::string& what = std::get<SettingsError>(loaded).message;
+        if (EventLoop::monotonic() >= give_up_at) return bad_settings(what);
+        if (!std::exchange(is_wait_logged, true))
+            log_event(Event::StartDelayed, "reads the settings again", {{"what", what}});
+        if (!wait_unless_terminated(kStartRetryInterval)) return ExitCode{0};
+    }
+}
+
+ExitCode check_settings(const ProgramDescription& program) {
+    const auto loaded = load_all_required(program);
+    if (const auto* error = std::get_if<SettingsError>(&loaded)) return bad_settings(error->message);
+    return {0};
+}
+
 std::string address_of(const std::string& ip_address, std::uint16_t port) {
     return ip_address + ":" + std::to_string(port);
 }
@@ -70,25 +109,14 @@
 }  // namespace
 
 std::variant<Settings, ExitCode> start_program(int argc, char** argv, const ProgramDescription& program) {
+    mask_handled_signals(SIG_BLOCK);
+    prepare_process();
     const auto parsed = parse_command_line(argc, argv, program);
     if (const auto* exit_code = std::get_if<ExitCode>(&parsed)) return *exit_code;
 
-    mask_handled_signals(SIG_BLOCK);
-    prepare_process();
     event_log::open(program.name);
-    auto loaded = load();
-    if (const auto* error = std::get_if<SettingsError>(&loaded)) {
-        log_event(Event::BadSettings, error->message);
-        return ExitCode{kExitBadSettings};
-    }
-    auto& settings = std::get<Settings>(loaded);
-    for (const RequiredSetting& required : program.required_settings(settings)) {
-        if (required.is_set) continue;
-        log_event(Event::BadSettings, std::string(required.field) + ": it is missing");
-        return ExitCode{kExitBadSettings};
-    }
-    if (std::get<Action>(parsed) == Action::CheckSettings) return ExitCode{0};
-    return std::move(settings);
+    if (std::get<Action>(parsed) == Action::CheckSettings) return check_settings(program);
+    return wait_for_settings(program);
 }
 
 void exit_process(int code) {
@@ -126,7 +154,9 @@
 }
 
 ProcessSignals::ProcessSignals(EventLoop& loop, Handlers handlers)
-    : handlers_(std::move(handlers)),
+    : loop_(loop),
+      handlers_(std::move(handlers)),
+      reload_timer_(loop),
       termination_signals_(loop.io(), SIGTERM, SIGINT),
       reload_signals_(loop.io(), SIGHUP) {
     watch_for_termination();
@@ -148,10 +178,19 @@
 void ProcessSignals::watch_for_reload() {
     reload_signals_.async_wait([this](const auto& error, int) {
         if (error) return;
-        const auto loaded = load();
-        if (const auto* settings = std::get_if<Settings>(&loaded)) handlers_.on_reload(*settings);
+        reload(loop_.now() + kSettingsRetryTime);
         watch_for_reload();
     });
 }
 
+void ProcessSignals::reload(Time give_up_at) {
+    const auto loaded = load();
+    if (const auto* settings = std::get_if<Settings>(&loaded)) return handlers_.on_reload(*settings);
+    if (loop_.now() < give_up_at) {
+        reload_timer_.set(loop_.now() + kStartRetryInterval, [this, give_up_at] { reload(give_up_at); });
+        return;
+    }
+    log_event(Event::ReloadRejected, std::get<SettingsError>(loaded).message);
+}
+
 }  // namespace martenford::bootstrap
--- a/src/bootstrap/program.h
+++ b/src/bootstrap/program.h
@@ -17,6 +17,9 @@
 /// Exit code for unknown options, and for settings that are missing or invalid.
 inline constexpr int kExitBadSettings = 2;
 
+/// For so long a settings file that can't be used is read again: it may be written at that moment.
+inline constexpr Duration kSettingsRetryTime = 1s;
+
 /// A settings field that a program can't run without.
 struct RequiredSetting {
     bool is_set = false;
@@ -37,9 +40,9 @@
 
 /// Handles --help, --events and --check, opens the event log, loads the settings and checks that the required
 /// ones are set. Returns the settings to run with, or the exit code: 0 after an option that was answered,
-/// kExitBadSettings after an unknown option or one MG event that names the faulty field. Called once per
-/// process, before anything is logged. SIGTERM, SIGINT and SIGHUP are held back from here on, until
-/// ProcessSignals handles them: their default action would end the process.
+/// kExitBadSettings after an unknown option, or after kSettingsRetryTime with one MG event that names the
+/// faulty field. Called once per process, before anything is logged. SIGTERM, SIGINT and SIGHUP are held back
+/// from here on, until ProcessSignals handles them: their default action would end the process.
 [[nodiscard]] std::variant<Settings, ExitCode> start_program(int argc, char** argv,
                                                              const ProgramDescription& program);
 
@@ -68,7 +71,8 @@
         /// The first SIGTERM or SIGINT. Later ones are ignored: a shutdown that is under way goes on.
         std::function<void()> on_terminate;
         /// SIGHUP, with the settings file read again. Only `seeds` may change while the process runs; the
-        /// caller ignores the rest. Not called if the file is invalid: the settings in use stay.
+        /// caller ignores the rest. Not called if the file is invalid and stays so for kSettingsRetryTime:
+        /// the settings in use stay.
         std::function<void(const Settings&)> on_reload;
     };
 
@@ -81,8 +85,12 @@
   private:
     void watch_for_termination();
     void watch_for_reload();
+    /// Reads the settings, again until `give_up_at` while they can't be used.
+    void reload(Time give_up_at);
 
+    EventLoop& loop_;
     Handlers handlers_;
+    Timer reload_timer_;
     asio::signal_set termination_signals_;
     asio::signal_set reload_signals_;
 };
--- a/src/event_log/event_catalogue.cpp
+++ b/src/event_log/event_catalogue.cpp
@@ -43,6 +43,8 @@
      "process holds. The line says for what. The process goes on by itself."},
     {Event::LogLinesLost, "MG107", "program.log_lines_lost", nullptr, Severity::Warning, 60,
      "Standard error did not take that many lines before this one: nobody read them in time."},
+    {Event::ReloadRejected, "MG108", "program.reload_rejected", nullptr, Severity::Error, 10,
+     "After SIGHUP the settings file cannot be used. The settings in use stay."},
     {Event::ConfigAccepted, "MG201", "config.accepted", "charter.taken", Severity::Info, 60,
      "The controller committed a configuration and acknowledged it to the operator."},
     {Event::ConfigRejected, "MG202", "config.rejected", "charter.refused", Severity::Warning, 60,
--- a/src/event_log/event_log.h
+++ b/src/event_log/event_log.h
@@ -23,6 +23,7 @@
     AnswersCut,
     StartDelayed,
     LogLinesLost,
+    ReloadRejected,
     ConfigAccepted,
     ConfigRejected,
     ConfigApplied,
--- a/tests/mesh/rig/started_program.cpp
+++ b/tests/mesh/rig/started_program.cpp
@@ -41,7 +41,7 @@
 }
 
 void StartedProgram::start(const Machine& machine, const std::function<void()>& prepare) {
-    std::ofstream(settings_path()) << settings_text(machine, data_directory());
+    write_settings(machine);
     const std::string log_path = directory_ + "/log";
     pid_ = ::fork();
     is_running_ = true;
@@ -96,6 +96,14 @@
     return true;
 }
 
+void StartedProgram::write_settings(const Machine& machine) const {
+    std::ofstream(settings_path()) << settings_text(machine, data_directory());
+}
+
+void StartedProgram::truncate_settings() const {
+    std::filesystem::resize_file(settings_path(), std::filesystem::file_size(settings_path()) / 2);
+}
+
 std::string StartedProgram::log() const {
     std::ifstream file(directory_ + "/log");
     return {std::istreambuf_iterator<char>(file), {}};
--- a/tests/mesh/rig/started_program.h
+++ b/tests/mesh/rig/started_program.h
@@ -47,6 +47,9 @@
     /// Waits until a line of its log contains `text`. Returns false after `limit`, or once it has ended.
     bool wait_for_log(const std::string& text, std::chrono::milliseconds limit = kMaxWait);
     [[nodiscard]] std::string log() const;
+    void write_settings(const Machine& machine) const;
+    /// Leaves the first half of the settings file.
+    void truncate_settings() const;
     [[nodiscard]] std::string settings_path() const { return directory_ + "/settings.toml"; }
     [[nodiscard]] std::string data_directory() const { return directory_ + "/data"; }
 
--- a/tests/mesh/startup_test.cpp
+++ b/tests/mesh/startup_test.cpp
@@ -93,6 +93,12 @@
     return socket;
 }
 
+/// In the process that becomes the program: its settings file loses its second half.
+void cut_settings() {
+    const std::string path = std::getenv("MARTENFORD_CONFIG");
+    std::filesystem::resize_file(path, std::filesystem::file_size(path) / 2);
+}
+
 std::vector<Port> ports_of(const Machine& machine) {
     if (machine.service.empty()) return {Port::Control, Port::Mesh};
     return {Port::Control, Port::Inbound, Port::Outbound, Port::Readiness};
@@ -292,6 +298,40 @@
     CHECK_FALSE(may_pass({EAFNOSUPPORT, system}));
 }
 
+// Guards against an end with 2, at each start, while the settings are being rewritten.
+TEST_CASE("settings: a file that is half written at the start is read again") {
+    for (const Machine& machine : both_programs()) {
+        CAPTURE(machine.name);
+        StartedProgram program(machine, cut_settings);
+        CHECK(program.wait_for_log("MG106 reads the settings again"));
+        program.write_settings(machine);
+        CHECK(program.wait_for_log(kListening));
+        check_ended_in_order(program.terminate());
+    }
+}
+
+TEST_CASE("settings: a file that stays invalid ends the program with one line and 2") {
+    StartedProgram program(proxy(), cut_settings);
+    const ExitStatus status = program.wait_for_exit();
+    CHECK(status.code == 2);
+    CHECK(program.log().find("MG103 ") != std::string::npos);
+}
+
+TEST_CASE("settings: a file that is half written at SIGHUP is read again, and one that stays so is told") {
+    const Machine machine = proxy();
+    StartedProgram program(machine);
+    REQUIRE(program.wait_for_log(kListening));
+    program.truncate_settings();
+    program.signal(SIGHUP);
+    std::this_thread::sleep_for(100ms);
+    program.write_settings(machine);
+    CHECK_FALSE(program.wait_for_log("MG108", 1500ms));
+    program.truncate_settings();
+    program.signal(SIGHUP);
+    CHECK(program.wait_for_log("MG108"));
+    check_ended_in_order(program.terminate());
+}
+
 // Guards against a controller that is deaf to SIGTERM while it waits for its disk.
 TEST_CASE("start: SIGTERM ends a controller whose data directory is not there, in order") {
     StartedProgram program(controller());
