Controller: unfinished calls, and documents of very many values, stay within its memory

What was seen: 100 calls of 8 MB that never end took 790 MB of a controller, whose limit is 256; a single call of 8 MB of empty objects took 246 MB once it was parsed, at each controller it is sent to. Memory over the limit ends a process. A proxy's endpoint calls were read up to 16 MB each as well.

Cause: a call's body was bounded for itself, with 512 connections; a document by its bytes alone.

Change: bodies that are being buffered count together (ListenerLimits::max_arriving_body_bytes, 32 MB for calls); the one that goes beyond gets 503, and what had come of it is freed at once. A port reads no more than the longest body of its calls: 16 kB at a proxy. A document of over 1,000,000 values is rejected before it is parsed; a route has some 15.

--- a/src/control_api/control_api.cpp
+++ b/src/control_api/control_api.cpp
@@ -1,5 +1,6 @@
 #include "control_api/control_api.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -14,6 +15,10 @@
 /// Bytes of the body of an endpoint's call, a small JSON object; fields that are unknown here are ignored.
 constexpr std::size_t kMaxEndpointCallBytes = 16 * 1024;
 
+/// Bytes that the bodies of calls that are still arriving may take together: a small part of a controller's
+/// memory, and room for several configurations of the longest kind that is accepted.
+constexpr std::size_t kMaxArrivingBytes = 2 * kMaxConfigBytes;
+
 /// How long a call may take. Above the time-outs of every handler, so that it only ends calls that are
 /// forgotten.
 constexpr Duration kCallTimeout = 30s;
@@ -60,6 +65,14 @@
     return answer;
 }
 
+std::size_t longest_body(const std::map<CallName, Handler>& handlers) {
+    std::size_t longest = 0;
+    for (const CallSpec& spec : call_table()) {
+        if (handlers.contains(spec.name)) longest = std::max(longest, spec.max_body_bytes);
+    }
+    return longest;
+}
+
 }  // namespace
 
 const std::vector<CallSpec>& call_table() {
@@ -96,8 +109,9 @@
     : handlers_(std::move(handlers)),
       front_(
           loop, *this, *this, max_connections, [] { return true; }, counters) {
-    limits_.max_body_bytes = kMaxConfigBytes;
-    limits_.max_buffered_body_bytes = kMaxConfigBytes;
+    limits_.max_body_bytes = longest_body(handlers_);
+    limits_.max_buffered_body_bytes = longest_body(handlers_);
+    limits_.max_arriving_body_bytes = kMaxArrivingBytes;
     limits_.idle_time = kIdleTimeout;
     limits_.head_time = kHeaderTimeout;
 }
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -92,6 +92,7 @@
 void ClientConnection::close() {
     if (std::exchange(stage_, Stage::Closed) == Stage::Closed) return;
     timer_.cancel();
+    drop_arriving_body();
     held_answer_.reset();
     if (upload_) std::exchange(upload_, nullptr)->fail();
     if (reply_) std::exchange(reply_, nullptr)->stop();
@@ -201,6 +202,7 @@
         return set_body_deadline();
     }
     received_ = parser_->get().body().size();
+    if (!set_arriving_body(received_)) return send_local_reply(http::status::service_unavailable, false);
     if (parser_->is_done()) return handle_request(false);
     // A body too long to buffer is streamed; the request is submitted with what has arrived.
     if (received_ > limits().max_buffered_body_bytes) return handle_request(true);
@@ -208,6 +210,17 @@
     set_body_deadline();
 }
 
+bool ClientConnection::set_arriving_body(std::size_t bytes) {
+    listener_.resize_arriving_body(std::exchange(arriving_body_bytes_, bytes), bytes);
+    return listener_.has_room_for_arriving_bodies();
+}
+
+void ClientConnection::drop_arriving_body() {
+    if (arriving_body_bytes_ == 0) return;
+    parser_->get().body() = {};
+    listener_.resize_arriving_body(std::exchange(arriving_body_bytes_, 0), 0);
+}
+
 void ClientConnection::expect_body() {
     if (!has_unambiguous_length(parser_->get().base())) return;  // handle_request() rejects it
     if (!boost::beast::iequals(parser_->get()[http::field::expect], "100-continue") ||
@@ -256,6 +269,8 @@
 
 void ClientConnection::handle_request(bool arriving) {
     timer_.cancel();
+    // From here on the body is the request's: it is answered, or given up, in the time of a request.
+    listener_.resize_arriving_body(std::exchange(arriving_body_bytes_, 0), 0);
     had_request_ = true;
     record_.add_request(buffer_.size());
     move_to(listener_.active_);
@@ -403,6 +418,7 @@
 void ClientConnection::send_local_reply(http::status status, bool keep, Duration retry_after,
                                         const std::vector<std::pair<std::string, std::string>>& fields) {
     body_.clear();
+    drop_arriving_body();
     record_.set_answer(static_cast<unsigned>(status), {});
     Reply::Head head{status, 11};
     for (const auto& [name, value] : fields) head.set(name, value);
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -77,6 +77,11 @@
     void handle_disconnect();
     void parse();
 
+    /// Notes how much of a body is buffered before its request is passed on. Returns false if it is too much.
+    [[nodiscard]] bool set_arriving_body(std::size_t bytes);
+    /// Frees what has arrived of a body whose request will not be passed on.
+    void drop_arriving_body();
+
     /// Answers "Expect: 100-continue" (RFC 9110, section 10.1.1). A body that is too long or whose length is
     /// ambiguous is rejected instead.
     void expect_body();
@@ -150,7 +155,8 @@
     unsigned http_version_ = 11;  // HTTP version of the client's request
     // A streamed body of a request.
     std::shared_ptr<Pipe> upload_;
-    std::uint64_t received_ = 0;  // bytes of the body
+    std::uint64_t received_ = 0;           // bytes of the body
+    std::size_t arriving_body_bytes_ = 0;  // of the parser's body, as the listener has accounted for them
     Time header_time_{};
     Duration paused_time_{};  // time in which the body was not read, because the endpoint took none of it
     std::optional<Time> paused_since_;
--- a/src/http1/listener.cpp
+++ b/src/http1/listener.cpp
@@ -161,6 +161,16 @@
     }
 }
 
+void HttpListener::resize_arriving_body(std::size_t from_bytes, std::size_t to_bytes) {
+    arriving_body_bytes_ += to_bytes;
+    arriving_body_bytes_ -= from_bytes;
+}
+
+bool HttpListener::has_room_for_arriving_bodies() const {
+    const std::size_t limit = protocol_.limits().max_arriving_body_bytes;
+    return limit == 0 || arriving_body_bytes_ <= limit;
+}
+
 void HttpListener::stop_accepting() {
     // Connections that the kernel has accepted were taken over first: the event loop has run all ready
     // handlers. The descriptor is released from Asio before it is closed: if another process holds the socket
--- a/src/http1/listener.h
+++ b/src/http1/listener.h
@@ -102,6 +102,10 @@
     void stop_serving();
     void finish_drain();
     std::size_t open_connections() const { return idle_.size() + partial_.size() + active_.size(); }
+    /// Accounts for a body that is being buffered.
+    void resize_arriving_body(std::size_t from_bytes, std::size_t to_bytes);
+    /// Whether the bodies that are being buffered are within ListenerLimits::max_arriving_body_bytes.
+    [[nodiscard]] bool has_room_for_arriving_bodies() const;
     bool full() const { return open_connections() >= max_connections_; }
     bool empty() const { return open_connections() == 0; }
 
@@ -116,6 +120,7 @@
     Clients partial_;  // a request has begun to arrive; ordered by the last read
     Clients active_;   // a request is being handled; never evicted
     bool accepting_ = false;
+    std::size_t arriving_body_bytes_ = 0;  // of bodies that are being buffered, on all connections
     Timer accept_retry_timer_, drain_timer_, evacuation_timer_, give_up_timer_;
     std::optional<Time> evacuated_since_;  // start of the evacuation
     bool replaced_ = false;
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -41,6 +41,9 @@
     std::uint64_t max_body_bytes = kMaxBodyBytes;
     /// A body up to this size is buffered whole; longer ones are streamed.
     std::size_t max_buffered_body_bytes = kMaxBufferedBodyBytes;
+    /// What bodies that are being buffered may take on all connections together; a request whose body goes
+    /// beyond it is answered with 503. 0: no limit of its own.
+    std::size_t max_arriving_body_bytes = 0;
 };
 
 /// The phases of a shutdown, counted from SIGTERM.
--- a/src/mesh_config/config_reader.cpp
+++ b/src/mesh_config/config_reader.cpp
@@ -12,6 +12,10 @@
 /// for fields that a later schema adds and this one ignores.
 constexpr int kMaxJsonDepth = 64;
 
+/// Values of a document, at most. Each takes up to 80 bytes of memory once it is parsed, so that one short
+/// document could otherwise take all memory of a controller. A route has about 15 values.
+constexpr std::size_t kMaxJsonValues = 1'000'000;
+
 /// Returns the index of the closing quote of the string that begins at `opening_quote`, or the text's size or
 /// more.
 std::size_t skip_string(std::string_view text, std::size_t opening_quote) {
@@ -22,14 +26,19 @@
     return at;
 }
 
-bool is_too_deep(std::string_view text) {
+/// Whether parsing the text would take too much stack or too much memory. Each value but the first of an
+/// array or an object follows a comma.
+bool is_too_complex(std::string_view text) {
     int depth = 0;
+    std::size_t values = 1;
     for (std::size_t at = 0; at < text.size(); ++at) {
         const char c = text[at];
         if (c == '"') at = skip_string(text, at);
         if (c == '}' || c == ']') --depth;
-        if (c != '{' && c != '[') continue;
-        if (++depth > kMaxJsonDepth) return true;
+        const bool opens = c == '{' || c == '[';
+        if (!opens && c != ',') continue;
+        if (++values > kMaxJsonValues) return true;
+        if (opens && ++depth > kMaxJsonDepth) return true;
     }
     return false;
 }
@@ -37,7 +46,7 @@
 }  // namespace
 
 std::optional<Json> parse_object(std::string_view text) {
-    if (is_too_deep(text)) return std::nullopt;
+    if (is_too_complex(text)) return std::nullopt;
     Json parsed = Json::parse(text, nullptr, false);
     if (!parsed.is_object()) return std::nullopt;
     return parsed;
--- a/src/mesh_config/config_reader.h
+++ b/src/mesh_config/config_reader.h
@@ -12,7 +12,8 @@
 namespace martenford::mesh_config {
 
 /// Parses a text that is one JSON object. Returns nothing for any other text, and for one that is nested
-/// deeper than a configuration can be: copying and writing such a tree recurses once for each level.
+/// deeper, or has more values, than a configuration can: copying and writing such a tree recurses once for
+/// each level, and each value takes memory.
 [[nodiscard]] std::optional<Json> parse_object(std::string_view text);
 
 /// Reads and validates a whole document (see validate()). Time grows linearly with its size.
--- a/tests/mesh/config_service_test.cpp
+++ b/tests/mesh/config_service_test.cpp
@@ -240,6 +240,20 @@
     CHECK(group.call(group.leader(), "", "replace", config("00000003", "00000000")) == 200);
 }
 
+// Guards against a controller over its memory limit: 8 MB of empty objects took 240 MB once they were parsed,
+// on each controller that the operator sent them to.
+TEST_CASE("a body with more values than a configuration has is rejected, and the leader goes on") {
+    RaftGroup group;
+    std::string wide =
+        R"({"version":"00000003","base_version":"00000000","listeners":[],"clusters":[],"x":[{})";
+    for (int i = 0; i < 1'000'000; ++i) wide += ",{}";
+    wide += "]}";
+    CHECK(group.call(group.leader(), "", "replace", wide) == 400);
+    const std::string commas_in_text = R"({"version":"00000003","base_version":"00000000","x":")" +
+                                       std::string(2'000'000, ',') + R"(","listeners":[],"clusters":[]})";
+    CHECK(group.call(group.leader(), "", "replace", commas_in_text) == 200);
+}
+
 TEST_CASE("parse_change_request: types at the edge, and errors with the version where it was readable") {
     using namespace config_service;
     const auto parse = [](const char* body) { return parse_change_request(CallKind::Replace, body); };
--- a/tests/mesh/front_test.cpp
+++ b/tests/mesh/front_test.cpp
@@ -3,7 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <string>
 
 #include "http1/held_answer.h"
 #include "http1/listener.h"
@@ -34,12 +36,16 @@
 
     template <class Condition>
     void wait_for(Condition condition) {
-        for (int i = 0; i < 4000 && !condition(); ++i) {
+        for (int i = 0; i < 4000 && !condition(); ++i) run_turns(1);
+        REQUIRE(condition());
+    }
+    /// Runs the loop for 1 ms, so many times.
+    void run_turns(int count) {
+        for (int i = 0; i < count; ++i) {
             loop.add(loop.now() + 1ms, [this] { loop.stop(); });
             loop.resume();
             loop.run();
         }
-        REQUIRE(condition());
     }
 
     EventLoop loop;
@@ -119,7 +125,7 @@
     idle.close(error);
     busy.close(error);
     fixture.wait_for([&] { return ended > 0; });
-    for (int i = 0; i < 20; ++i) fixture.wait_for([] { return true; });
+    fixture.run_turns(20);
     CHECK(ended == 1);
 }
 
@@ -133,7 +139,7 @@
     int ended = 0;
     front.drain([&] { ++ended; }, false);
     fixture.wait_for([&] { return ended > 0; });
-    for (int i = 0; i < 20; ++i) fixture.wait_for([] { return true; });
+    fixture.run_turns(20);
     CHECK(ended == 1);
 }
 
@@ -142,7 +148,7 @@
     fixture.begin();
     fixture.answer("first ", 10);
     fixture.rest->put("la");
-    for (int i = 0; i < 20; ++i) fixture.wait_for([] { return true; });
+    fixture.run_turns(20);
     CHECK(fixture.received.empty());
     CHECK(fixture.front.backlog().awaited_answers == 1);
     fixture.rest->put("st");
@@ -234,3 +240,50 @@
     CHECK(held == nullptr);
     CHECK(limit.held_bytes() == 0);
 }
+
+// Guards against a controller over its memory limit: 100 calls of 8 MB that do not end took 790 MB.
+TEST_CASE("bodies that arrive on many connections are bounded together, and room is made by those that end") {
+    constexpr std::size_t kLimit = 100'000;
+    constexpr std::size_t kStated = 70'000;
+    const std::string head =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(kStated) + "\r\n\r\n";
+    Fixture fixture;
+    fixture.limits_.max_buffered_body_bytes = kStated;
+    fixture.limits_.max_arriving_body_bytes = kLimit;
+    HttpListener front(
+        fixture.loop, fixture, fixture, 16, [] { return true; }, fixture.counters);
+    front.listen(*parse_address("127.0.0.1:0"));
+    const auto begin = [&](asio::ip::tcp::socket& client) {
+        client.connect(front.local_address());
+        asio::write(client, asio::buffer(head + std::string(kStated - 1, 'x')));
+    };
+    const auto status = [&](asio::ip::tcp::socket& client) {
+        fixture.wait_for([&] { return client.available() >= 12; });
+        std::string line(12, ' ');
+        asio::read(client, asio::buffer(line));
+        return line.substr(9);
+    };
+    asio::ip::tcp::socket first(fixture.loop.io());
+    asio::ip::tcp::socket second(fixture.loop.io());
+    asio::ip::tcp::socket third(fixture.loop.io());
+    begin(first);
+    fixture.run_turns(50);  // a turn reads 4 kB of each connection
+    begin(second);
+    CHECK(status(second) == "503");
+
+    // The first one completes, and its request is passed on: its body counts no longer.
+    asio::write(first, asio::buffer(std::string("x")));
+    fixture.wait_for([&] { return static_cast<bool>(fixture.pending_reply); });
+    begin(third);
+    fixture.run_turns(50);
+    error_code ignored;
+    third.close(ignored);
+    fixture.run_turns(50);
+
+    // So does that of a connection that was closed.
+    asio::ip::tcp::socket fourth(fixture.loop.io());
+    fixture.pending_reply = nullptr;
+    begin(fourth);
+    asio::write(fourth, asio::buffer(std::string("x")));
+    fixture.wait_for([&] { return static_cast<bool>(fixture.pending_reply); });
+}
