--- a/src/controller/main.cpp
+++ b/src/controller/main.cpp
@@ -35,6 +35,9 @@
 
 }  // namespace
 
+// An exception is a lack of memory or of descriptors for the event loop: std::terminate() prints it, and the
+// exit status is not 0.
+// NOLINTNEXTLINE(bugprone-exception-escape)
 int main(int argc, char** argv) {
     const auto started = bootstrap::start_program(argc, argv, describe_program());
     if (const auto* exit_code = std::get_if<bootstrap::ExitCode>(&started)) return exit_code->value;
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -33,6 +33,9 @@
 
 }  // namespace
 
+// An exception is a lack of memory or of descriptors for the event loop: std::terminate() prints it, and the
+// exit status is not 0.
+// NOLINTNEXTLINE(bugprone-exception-escape)
 int main(int argc, char** argv) {
     const auto started = martenford::bootstrap::start_program(
         argc, argv, {"martenford-proxy", "the data plane, beside one endpoint", required_settings});
--- a/tests/mesh/rig/processes.h
+++ b/tests/mesh/rig/processes.h
@@ -60,6 +60,10 @@
     [[nodiscard]] static std::string ip(std::size_t machine);
     /// Writes the settings file and starts the program. A controller keeps its data directory over restarts.
     void start(const Machine& machine);
+    /// Writes the settings file of a machine that was started before.
+    void write_settings(const Machine& machine) const;
+    /// Leaves the first half of a settings file.
+    void cut_settings(const std::string& name) const;
     [[nodiscard]] bool is_running(const std::string& name) const { return processes_.contains(name); }
     /// Whether it runs and nothing has terminated it.
     [[nodiscard]] bool is_up(const std::string& name) const;
--- a/tests/mesh/rig/proxy_fleet.h
+++ b/tests/mesh/rig/proxy_fleet.h
@@ -6,9 +6,13 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "core/listening_socket.h"
 #include "mesh/rig/link_cuts.h"
 #include "mesh/rig/processes.h"
 #include "mesh/rig/processor_quota.h"
@@ -77,6 +81,15 @@
     void reset_controller_connections();
     /// The controller's disk refuses every write.
     void fill_controller_disk(Duration duration);
+    /// Another process takes this port of the proxy, or of the controller, as soon as it is free, and holds
+    /// it until `duration` is over.
+    void hold_port(std::size_t proxy, Port port, Duration duration);
+    void hold_controller_port(Port port, Duration duration);
+    /// The next start of the proxy finds the first half of its settings file; the rest comes after
+    /// `duration`.
+    void cut_next_settings(std::size_t proxy, Duration duration);
+    /// SIGHUP to the proxy at the first moment of its next start at which a program can handle it.
+    void reload_next_start(std::size_t proxy);
     /// Enforces the processor quota from now on.
     void limit_processors();
     /// Notes an unplanned fault, and calls `repair` when it is over.
@@ -89,6 +102,8 @@
     [[nodiscard]] bool stop_between(std::size_t proxy, Time from, Time to) const;
     /// Processes that did not end as they should, and invariants that a program reported as violated.
     [[nodiscard]] std::vector<std::string> process_violations();
+    /// Whether a process did not end as it should. It is not started again: a test stops here.
+    [[nodiscard]] bool has_unexpected_exit() const { return !processes_.unexpected_exits().empty(); }
     /// The logs of all processes.
     [[nodiscard]] std::string logs() const;
     [[nodiscard]] EventLoop& loop() { return loop_; }
@@ -106,6 +121,11 @@
         Span span;
         bool killed = false;
     };
+    /// A port that another process wants, or has.
+    struct HeldPort {
+        Address address;
+        std::optional<ListeningSocket> socket;
+    };
     /// Starting: it may not handle signals yet.
     enum class State { Starting, Running, Stopping };
 
@@ -116,6 +136,9 @@
     void start_proxy(std::size_t i);
     void enforce_quota();
     void reset_connections_of(const std::string& process);
+    void hold(const std::string& address, Duration duration);
+    void take_held_ports();
+    void signal_once_handled(const std::string& process);
     void poll();
     void send_heartbeats();
     void send_config();
@@ -135,6 +158,10 @@
     std::vector<Span> stalls_;  // of the test
     Time polled_at_{};
     std::vector<PlannedStop> stops_;
+    std::list<HeldPort> held_ports_;
+    std::map<std::size_t, Duration> cut_settings_;  // by proxy: for how long its next start finds half a file
+    std::set<std::size_t> reload_at_start_;         // proxies
+    std::size_t ports_taken_ = 0;
     unsigned config_version_ = 0;  // that was sent last
     bool configured_ = false, config_pending_ = false, config_in_flight_ = false;
     State controller_ = State::Starting;
