--- a/src/controller/first_boot_record.h
+++ b/src/controller/first_boot_record.h
@@ -17,8 +17,8 @@
 
 /// Returns nothing if there is none, or if it is not whole.
 [[nodiscard]] std::optional<FirstBootRecord> read_first_boot_record(const std::string& directory);
-/// Whole or not at all if the process ends meanwhile. Not synced: the record outlives the process, not a loss of power. Errors are ignored, as the record only
-/// matters if the process ends in the next milliseconds.
+/// Whole or not at all if the process ends meanwhile. Not synced: the record outlives the process, not a loss
+/// of power. Errors are ignored, as the record only matters if the process ends in the next milliseconds.
 void write_first_boot_record(const std::string& directory, const FirstBootRecord& record);
 /// To be called once a state is saved: from then on the store alone says who this machine is.
 void remove_first_boot_record(const std::string& directory);
--- a/src/mesh_config/config_reader.cpp
+++ b/src/mesh_config/config_reader.cpp
@@ -12,8 +12,9 @@
 /// for fields that a later schema adds and this one ignores.
 constexpr int kMaxJsonDepth = 64;
 
-/// Values of a document, at most. Each takes up to 80 bytes of memory once it is parsed, so that one short
-/// document could otherwise take all memory of a controller. A route has about 15 values.
+/// Values of a document, at most. An empty object takes 3 bytes of a document and some 90 of memory once it
+/// is parsed, so that one document could otherwise take all memory of a controller. A route has about 15
+/// values.
 constexpr std::size_t kMaxJsonValues = 1'000'000;
 
 /// Returns the index of the closing quote of the string that begins at `opening_quote`, or the text's size or
