Settings: what comes late, and figures in another form, end no process

What a runner saw: ends with 2 at each start, MG103, where the settings file came 1 s or more after the process, or was a directory meanwhile; and where it wrote bounds as one text, memory_mb with a fraction or 128 descriptors. Two faults of the same place, in one commit.

Cause: a file that is not there was waited for as long as one that is half written; the forms were taken literally (DEPLOY.md allows commas between bounds).

Change: no file, or no regular one, is waited for up to 10 s. A text of bounds may hold several, and may stand for the list; memory_mb may be a fraction; 64 descriptors are enough.

--- a/src/bootstrap/program.cpp
+++ b/src/bootstrap/program.cpp
@@ -83,13 +83,18 @@
 
 /// The same for a start: a file that can't be used may be one that is being written at this moment.
 std::variant<Settings, ExitCode> wait_for_settings(const ProgramDescription& program) {
-    const Time give_up_at = EventLoop::monotonic() + kSettingsRetryTime;
+    const Time start = EventLoop::monotonic();
+    Time last_absent_at = start;
     bool is_wait_logged = false;
     for (;;) {
         auto loaded = load_all_required(program);
         if (auto* settings = std::get_if<Settings>(&loaded)) return std::move(*settings);
-        const std::string& what = std::get<SettingsError>(loaded).message;
-        if (EventLoop::monotonic() >= give_up_at) return bad_settings(what);
+        const auto& [what, is_absent] = std::get<SettingsError>(loaded);
+        const Time now = EventLoop::monotonic();
+        if (is_absent) last_absent_at = now;
+        const Time give_up_at =
+            is_absent ? start + kAbsentSettingsRetryTime : last_absent_at + kSettingsRetryTime;
+        if (now >= give_up_at) return bad_settings(what);
         if (!std::exchange(is_wait_logged, true))
             log_event(Event::StartDelayed, "reads the settings again", {{"what", what}});
         if (!wait_unless_terminated(kStartRetryInterval)) return ExitCode{0};
--- a/src/bootstrap/program.h
+++ b/src/bootstrap/program.h
@@ -19,6 +19,8 @@
 
 /// For so long a settings file that can't be used is read again: it may be written at that moment.
 inline constexpr Duration kSettingsRetryTime = 1s;
+/// The same for a start where there is no file: what provides it may start beside this program.
+inline constexpr Duration kAbsentSettingsRetryTime = 10s;
 
 /// A settings field that a program can't run without.
 struct RequiredSetting {
@@ -40,9 +42,10 @@
 
 /// Handles --help, --events and --check, opens the event log, loads the settings and checks that the required
 /// ones are set. Returns the settings to run with, or the exit code: 0 after an option that was answered,
-/// kExitBadSettings after an unknown option, or after kSettingsRetryTime with one MG event that names the
-/// faulty field. Called once per process, before anything is logged. SIGTERM, SIGINT and SIGHUP are held back
-/// from here on, until ProcessSignals handles them: their default action would end the process.
+/// kExitBadSettings after an unknown option, or after kSettingsRetryTime (kAbsentSettingsRetryTime) with one
+/// MG event that names the faulty field. Called once per process, before anything is logged. SIGTERM, SIGINT
+/// and SIGHUP are held back from here on, until ProcessSignals handles them: their default action would end
+/// the process.
 [[nodiscard]] std::variant<Settings, ExitCode> start_program(int argc, char** argv,
                                                              const ProgramDescription& program);
 
--- a/src/bootstrap/settings.cpp
+++ b/src/bootstrap/settings.cpp
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
+#include <filesystem>
+#include <sstream>
+#include <system_error>
 
 #include "mesh_config/json_reader.h"
 
@@ -23,7 +26,8 @@
 BOOST_DESCRIBE_STRUCT(ListenAddrs, (), (inbound, outbound, readiness, control))
 
 struct FileLimits {
-    std::int64_t memory_mb = 256, file_descriptors = 4096;
+    double memory_mb = 256;
+    std::int64_t file_descriptors = 4096;
 };
 BOOST_DESCRIBE_STRUCT(FileLimits, (), (memory_mb, file_descriptors))
 
@@ -52,8 +56,10 @@
 constexpr std::int64_t kMaxTolerated = 5;
 
 /// Smallest limits of a process to run in.
-constexpr std::int64_t kMinFileDescriptors = 256;
-constexpr std::int64_t kMinMemoryMb = 8;
+constexpr std::int64_t kMinFileDescriptors = 64;
+constexpr double kMinMemoryMb = 8;
+/// A terabyte.
+constexpr double kMaxMemoryMb = 1 << 20;
 
 /// Milliseconds: an hour.
 constexpr std::int64_t kMaxBeatIntervalMs = 3'600'000;
@@ -154,8 +160,10 @@
         return ConfigError{"internal_ports", "a first and a last port are wanted"};
     if (!parse_address(file.ip_address + ":" + std::to_string(ports[0])))
         return ConfigError{"ip_address", "an IP address is wanted, not '" + file.ip_address + "'"};
-    if (file.limits.file_descriptors < kMinFileDescriptors || file.limits.memory_mb < kMinMemoryMb)
-        return ConfigError{"limits", "too small to run in"};
+    if (file.limits.file_descriptors < kMinFileDescriptors)
+        return ConfigError{"limits.file_descriptors", "too few to run with"};
+    if (!(file.limits.memory_mb >= kMinMemoryMb && file.limits.memory_mb <= kMaxMemoryMb))
+        return ConfigError{"limits.memory_mb", "it must be from 8 to 1048576"};
     if (file.beat_interval_ms < 1 || file.beat_interval_ms > kMaxBeatIntervalMs)
         return ConfigError{"beat_interval_ms", "it must be from 1 to 3600000"};
     return std::nullopt;
@@ -187,13 +195,25 @@
     return std::nullopt;
 }
 
+/// A text may hold several bounds, with commas between them.
 std::optional<ConfigError> read_bounds(const std::vector<std::string>& texts, Bounds& to) {
     for (std::size_t i = 0; i < texts.size(); ++i) {
-        if (auto error = read_bound(texts[i], to, "bounds[" + std::to_string(i) + "]")) return error;
+        const std::string path = "bounds[" + std::to_string(i) + "]";
+        std::istringstream parts(texts[i]);
+        for (std::string part; std::getline(parts, part, ',');) {
+            if (auto error = read_bound(part, to, path)) return error;
+        }
     }
     return std::nullopt;
 }
 
+/// `bounds` as one text is a list of one.
+Json with_bounds_as_list(Json file) {
+    const auto bounds = file.find("bounds");
+    if (bounds != file.end() && bounds->is_string()) *bounds = Json::array({*bounds});
+    return file;
+}
+
 std::optional<ConfigError> read_addresses(const File& file, Settings& to) {
     const struct {
         const char* name;
@@ -236,9 +256,7 @@
     return std::nullopt;
 }
 
-}  // namespace
-
-std::variant<Settings, SettingsError> load(const std::string& path) {
+std::variant<Settings, SettingsError> load_file(const std::string& path) {
     toml::table table;
     try {
         table = toml::parse_file(path);
@@ -247,16 +265,28 @@
                              std::string(error.description())};
     }
     File file;
-    auto error = mesh_config::read(json_of(table), file, "");
+    auto error = mesh_config::read(with_bounds_as_list(json_of(table)), file, "");
     Settings settings;
     if (!error) error = convert(file, settings);
     if (!error) return settings;
     // A missing field has no line of its own: 0.
-    const auto node = table.at_path(error->path);
+    auto node = table.at_path(error->path);
+    if (!node && error->path.starts_with("bounds")) node = table.at_path("bounds");
     const auto line = node ? node.node()->source().begin.line : 0;
     return SettingsError{path + ":" + std::to_string(line) + ": " + error->text()};
 }
 
+}  // namespace
+
+std::variant<Settings, SettingsError> load(const std::string& path) {
+    auto loaded = load_file(path);
+    std::error_code ignored;
+    // Only then: the file's kind does not matter as long as it can be read.
+    if (std::holds_alternative<SettingsError>(loaded) && !std::filesystem::is_regular_file(path, ignored))
+        return SettingsError{path + ":0: it is not there, or not a file", true};
+    return loaded;
+}
+
 std::variant<Settings, SettingsError> load() {
     const char* path = std::getenv(kSettingsPathVariable);
     return load(path ? path : kDefaultSettingsPath);
--- a/src/bootstrap/settings.h
+++ b/src/bootstrap/settings.h
@@ -131,16 +131,18 @@
     std::optional<Address> readiness;
     std::optional<Address> control;
 
-    /// `limits.memory_mb`, MiB, at least 8: memory of this process. Checked, not used. Default: 256.
+    /// `limits.memory_mb`, MiB, 8 to 1,048,576; a fraction is cut off: memory of this process. Checked, not
+    /// used. Default: 256.
     std::size_t memory_mb = 256;
 
-    /// `limits.file_descriptors`, at least 256: open files and sockets of this process. Default: 4096.
+    /// `limits.file_descriptors`, at least 64: open files and sockets of this process. Default: 4096.
     std::size_t descriptors = 4096;
 };
 
 /// What is wrong with the file.
 struct SettingsError {
-    std::string message;  ///< one line: "file:line: field: what is wrong"
+    std::string message;     ///< one line: "file:line: field: what is wrong"
+    bool is_absent = false;  ///< there is no such file
 };
 
 /// Reads the file that kSettingsPathVariable names, else kDefaultSettingsPath. Unknown fields are ignored.
