Controller: a damaged store is set aside, and a first start lasts from its first write

What a runner saw: a controller with a damaged word.mdb tried to open or to save it for good, MG401 each 0.2 s, and listened on nothing, or ended in LMDB (SIGABRT, SIGBUS; seen from outside), at each start. A first start that ran out of room left half a store, which is the same. Without its data directory a controller waited for ever.

Cause: LMDB trusts its pages, and a state of the disk that it rejects was met by trying again. The record of the first boot was neither checked nor synced, and the store was made in place.

Change: before LMDB maps the file its structure is checked by plain reads (file_check). A damaged file is renamed (three are kept), and the controller is a new member without a vote, whatever first_boot says. A store is made under another name and renamed once it is synced. It holds the number of the transaction that saved it, so that a damaged meta page can't bring an older vote back. The record of the first boot is synced before the store is made, and gone before anything is sent: as long as it is there, what is in the store counts for nothing. At the first boot a missing data directory is made. The store says whether its disk was empty at first, for the commit that follows.

--- a/src/controller/first_boot_record.cpp
+++ b/src/controller/first_boot_record.cpp
@@ -1,12 +1,14 @@
 #include "controller/first_boot_record.h"
 
-#include <filesystem>
 #include <fstream>
-#include <system_error>
+
+#include "durable_store/durable_file.h"
 
 namespace martenford::controller {
 namespace {
 
+using durable_store::StorageError;
+
 constexpr const char* kFirstLine = "first boot 1";
 constexpr const char* kLastLine = "end";
 /// More lines than that are not a record.
@@ -16,6 +18,12 @@
     return directory + "/" + kFirstBootFileName;
 }
 
+/// @param operation a string literal
+std::optional<StorageError> error_of(std::string_view operation, int code) {
+    if (code == 0) return std::nullopt;
+    return durable_store::storage_error(operation, code);
+}
+
 }  // namespace
 
 std::optional<FirstBootRecord> read_first_boot_record(const std::string& directory) {
@@ -31,19 +39,16 @@
     return std::nullopt;
 }
 
-void write_first_boot_record(const std::string& directory, const FirstBootRecord& record) {
+std::optional<StorageError> write_first_boot_record(const std::string& directory,
+                                                    const FirstBootRecord& record) {
     std::string text = std::string(kFirstLine) + "\n";
     for (const std::string& address : record.seed_addresses) text += address + "\n";
     text += std::string(kLastLine) + "\n";
-    const std::string temporary = path_in(directory) + ".new";
-    std::ofstream(temporary, std::ios::trunc) << text;
-    std::error_code ignored;
-    std::filesystem::rename(temporary, path_in(directory), ignored);
+    return error_of("first boot record", durable_store::replace_file(directory, kFirstBootFileName, text));
 }
 
-void remove_first_boot_record(const std::string& directory) {
-    std::error_code ignored;
-    std::filesystem::remove(path_in(directory), ignored);
+std::optional<StorageError> remove_first_boot_record(const std::string& directory) {
+    return error_of("first boot record", durable_store::remove_file(directory, kFirstBootFileName));
 }
 
 }  // namespace martenford::controller
--- a/src/controller/initial_state.cpp
+++ b/src/controller/initial_state.cpp
@@ -36,9 +36,10 @@
         const auto state = rpc::from_records(loaded.records);
         if (state && state->self_id != 0) return {*state, StateOrigin::Loaded, StorageDamage::None};
         initial.damage = StorageDamage::InconsistentRecords;
-    } else if (conditions.first_boot) {
-        return {first_boot_state(conditions, new_member_id), StateOrigin::FirstBoot, StorageDamage::None};
     }
+    const bool is_intact = initial.damage == StorageDamage::None;
+    if (conditions.first_boot_incomplete || (conditions.first_boot && is_intact))
+        return {first_boot_state(conditions, new_member_id), StateOrigin::FirstBoot, initial.damage};
     initial.origin = StateOrigin::NewMember;
     initial.state.self_id = new_member_id;
     return initial;
--- a/src/controller/initial_state.h
+++ b/src/controller/initial_state.h
@@ -16,6 +16,9 @@
     std::string own_address;                  ///< "ip:port" of this controller's RPC listener
     std::vector<std::string> seed_addresses;  ///< the same of every seed
     bool first_boot = false;                  ///< the system as a whole has never run
+    /// This machine has begun its first start and saved no state, so it has given no vote: whatever is in the
+    /// store is the rest of an attempt to create it.
+    bool first_boot_incomplete = false;
 };
 
 enum class StateOrigin {
@@ -26,7 +29,7 @@
 
 enum class StorageDamage {
     None,
-    UnreadableRecord,    ///< a checksum or a read failed
+    UnreadableRecord,    ///< the file is damaged, or a record fails its checksum
     InconsistentRecords  ///< each can be read, together they are no state
 };
 
@@ -38,7 +41,8 @@
 
 /// Decides which state to start with. `new_member_id` is a random id, used if the disk has none and this
 /// machine is no seed of a first boot. A state whose origin is not Loaded must be saved before it is used.
-/// Damaged records never count as a first boot: a voter that forgot its vote could vote twice in one term.
+/// Damaged records don't count as a first boot unless that is known to be incomplete: a voter that forgot its
+/// vote could vote twice in one term.
 [[nodiscard]] InitialState initial_state(const durable_store::LoadResult& loaded,
                                          const StartConditions& conditions, raft::MemberId new_member_id);
 
--- a/src/controller/register_storage.h
+++ b/src/controller/register_storage.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 
 #include "bootstrap/program.h"
@@ -20,14 +21,20 @@
 
 class RegisterStorage {
   public:
-    explicit RegisterStorage(std::unique_ptr<durable_store::DurableStore> store) : store_(std::move(store)) {}
+    /// @param began_empty see began_empty()
+    RegisterStorage(std::unique_ptr<durable_store::DurableStore> store, bool began_empty)
+        : store_(std::move(store)), began_empty_(began_empty) {}
 
-    [[nodiscard]] durable_store::LoadResult load() { return store_->load(); }
     /// Returns nothing once `state` is synced to disk. After an error the previous state is still there.
     [[nodiscard]] std::optional<durable_store::StorageError> save(const raft::PersistentState& state);
 
+    /// Whether the first state in this store was made on an empty disk: no vote and no entry was lost with an
+    /// earlier one. False in the data directories of releases that did not record it.
+    [[nodiscard]] bool began_empty() const { return began_empty_; }
+
   private:
     std::unique_ptr<durable_store::DurableStore> store_;
+    bool began_empty_;
 };
 
 struct OpenedRegister {
@@ -36,8 +43,10 @@
 };
 
 /// Opens the store below `directory` and gives the state to start with, which is on disk when this returns.
-/// Logs what was found. A full disk, or a directory that is not there yet, is waited for without end: a
-/// controller can do nothing without it. Returns exit code 0 if SIGTERM or SIGINT comes meanwhile.
+/// A damaged store is set aside, and the controller starts as a new member. Logs what was found. A full disk,
+/// or a directory that is not there yet, is waited for without end: a controller can do nothing without it.
+/// At the first boot a missing directory is made, if its parent is there. Returns exit code 0 if SIGTERM or
+/// SIGINT comes meanwhile.
 [[nodiscard]] std::variant<OpenedRegister, bootstrap::ExitCode> open_register(
     const std::string& directory, const StartConditions& conditions);
 
--- a/src/durable_store/durable_store.cpp
+++ b/src/durable_store/durable_store.cpp
@@ -1,6 +1,5 @@
 #include "durable_store/durable_store.h"
 
-#include <fcntl.h>
 #include <lmdb.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -8,12 +7,16 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <filesystem>
 #include <optional>
 #include <utility>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "durable_store/durable_file.h"
+#include "durable_store/file_check.h"
+
 namespace martenford::durable_store {
 
 namespace {
@@ -37,11 +40,6 @@
     }
 }
 
-/// `operation` is a string literal; `lmdb_code` is one of LMDB's or an errno.
-StorageError storage_error(std::string_view operation, int lmdb_code) {
-    return {error_code_of(lmdb_code), operation, std::string(operation) + ": " + mdb_strerror(lmdb_code)};
-}
-
 // ---- LMDB's handles
 
 struct EnvironmentCloser {
@@ -79,17 +77,8 @@
     MDB_txn* handle_ = nullptr;
 };
 
-/// Syncs a directory: without it the name of a new file may be lost with the power. Best effort.
-void sync_directory(const std::string& directory) {
-    const int fd = ::open(directory.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (fd < 0) return;
-    ::fsync(fd);
-    ::close(fd);
-}
-
-/// Extends a file that is shorter than its pages, which a disk that acknowledges a sync falsely can leave
-/// behind. LMDB reads through a memory map: a page beyond the end of the file would end the process with
-/// SIGBUS, whereas pages of zeros fail their checksum and are reported as damaged.
+/// Extends a file that is shorter than the pages that LMDB may allocate in it. Those beyond its end are free;
+/// a read of one through the memory map would end the process with SIGBUS.
 void extend_truncated_file(MDB_env* environment) {
     MDB_envinfo info{};
     MDB_stat database_stat{};
@@ -133,10 +122,13 @@
 }
 
 /// Stores a record unless the same bytes are stored already: an unchanged record costs no write.
-int put_record(MDB_txn* transaction, MDB_dbi table, const std::string& name, std::string_view record) {
+/// `changed` is set if it was stored.
+int put_record(MDB_txn* transaction, MDB_dbi table, const std::string& name, std::string_view record,
+               bool& changed) {
     MDB_val key = to_value(name);
     MDB_val stored{};
     if (mdb_get(transaction, table, &key, &stored) == 0 && verified_record(stored) == record) return 0;
+    changed = true;
     const Checksum checksum = checksum_of(record);
     MDB_val value{sizeof checksum + record.size(), nullptr};
     if (const int code = mdb_put(transaction, table, &key, &value, MDB_RESERVE)) return code;
@@ -145,6 +137,14 @@
     return 0;
 }
 
+/// The number of the transaction that saved the records, beside them. If a damaged meta page makes LMDB read
+/// an older state, it differs from that of the meta page. Files of releases before 2026-12-06 have none.
+constexpr char kTransactionKey[] = "transaction";
+
+std::string transaction_record(MDB_txn* transaction) {
+    return std::to_string(mdb_txn_id(transaction));
+}
+
 /// Calls `visit(cursor, name, value)` for every record until it returns another code than 0. Returns that
 /// code, LMDB's own at an error, or 0.
 template <class Visit>
@@ -163,13 +163,29 @@
     return code == MDB_NOTFOUND ? 0 : code;
 }
 
+// ---- names
+
+std::string path_in(const std::string& directory) {
+    return directory + "/" + kDatabaseFileName;
+}
+
+bool exists_in(const std::string& directory, const std::string& name) {
+    std::error_code ignored;
+    return std::filesystem::exists(directory + "/" + name, ignored);
+}
+
+/// @param number from 1 to kMaxDamagedFiles
+std::string damaged_file_name(int number) {
+    return std::string(kDatabaseFileName) + ".damaged." + std::to_string(number);
+}
+
 }  // namespace
 
 // ---- DurableStore::Database: the open file
 
 class DurableStore::Database {
   public:
-    static std::variant<std::unique_ptr<Database>, StorageError> open(const std::string& directory,
+    static std::variant<std::unique_ptr<Database>, StorageError> open(const std::string& path,
                                                                       std::size_t map_size_bytes);
     /// Return LMDB's codes.
     [[nodiscard]] int read_all(Records& records) const;
@@ -183,11 +199,10 @@
 };
 
 std::variant<std::unique_ptr<DurableStore::Database>, StorageError> DurableStore::Database::open(
-    const std::string& directory, std::size_t map_size_bytes) {
+    const std::string& path, std::size_t map_size_bytes) {
+    if (auto error = check_database_file(path, map_size_bytes)) return std::move(*error);
     auto database = std::make_unique<Database>();
-    if (const int code = database->open_file(directory + "/" + kDatabaseFileName, map_size_bytes))
-        return storage_error("open", code);
-    sync_directory(directory);
+    if (const int code = database->open_file(path, map_size_bytes)) return storage_error("open", code);
     return database;
 }
 
@@ -213,31 +228,47 @@
 int DurableStore::Database::read_all(Records& records) const {
     Transaction transaction;
     if (const int code = transaction.begin(environment_.get(), Transaction::Access::ReadOnly)) return code;
-    return for_each_record(transaction.get(), table_,
-                           [&records](MDB_cursor*, const std::string& name, const MDB_val& value) {
-                               const auto record = verified_record(value);
-                               if (!record) return MDB_CORRUPTED;
-                               records[name] = *record;
-                               return 0;
-                           });
+    const int code = for_each_record(transaction.get(), table_,
+                                     [&records](MDB_cursor*, const std::string& name, const MDB_val& value) {
+                                         const auto record = verified_record(value);
+                                         if (!record) return MDB_CORRUPTED;
+                                         records[name] = *record;
+                                         return 0;
+                                     });
+    if (code != 0) return code;
+    const auto saved_by = records.extract(kTransactionKey);
+    if (saved_by && saved_by.mapped() != transaction_record(transaction.get())) return MDB_CORRUPTED;
+    return 0;
 }
 
 int DurableStore::Database::replace_all(const Records& records) const {
     Transaction transaction;
     if (const int code = transaction.begin(environment_.get(), Transaction::Access::ReadWrite)) return code;
-    const int removed = for_each_record(
-        transaction.get(), table_, [&records](MDB_cursor* cursor, const std::string& name, const MDB_val&) {
-            return records.contains(name) ? 0 : mdb_cursor_del(cursor, 0);
-        });
+    bool changed = false;
+    const int removed = for_each_record(transaction.get(), table_,
+                                        [&](MDB_cursor* cursor, const std::string& name, const MDB_val&) {
+                                            if (records.contains(name) || name == kTransactionKey) return 0;
+                                            changed = true;
+                                            return mdb_cursor_del(cursor, 0);
+                                        });
     if (removed != 0) return removed;
     for (const auto& [name, record] : records) {
-        if (const int code = put_record(transaction.get(), table_, name, record)) return code;
+        if (const int code = put_record(transaction.get(), table_, name, record, changed)) return code;
+    }
+    if (changed) {
+        const std::string number = transaction_record(transaction.get());
+        if (const int code = put_record(transaction.get(), table_, kTransactionKey, number, changed))
+            return code;
     }
     return transaction.commit();
 }
 
 // ---- DurableStore
 
+StorageError storage_error(std::string_view operation, int code) {
+    return {error_code_of(code), operation, std::string(operation) + ": " + mdb_strerror(code)};
+}
+
 DurableStore::DurableStore(std::string directory, std::size_t map_size_bytes,
                            std::unique_ptr<Database> database)
     : directory_(std::move(directory)), map_size_bytes_(map_size_bytes), database_(std::move(database)) {}
@@ -245,13 +276,51 @@
 DurableStore::~DurableStore() = default;
 
 DurableStore::OpenResult DurableStore::open(const std::string& directory, std::size_t map_size_bytes) {
-    auto opened = Database::open(directory, map_size_bytes);
-    if (auto* error = std::get_if<StorageError>(&opened)) return std::move(*error);
-    auto database = std::get<std::unique_ptr<Database>>(std::move(opened));
+    auto opened = Database::open(path_in(directory), map_size_bytes);
+    std::unique_ptr<Database> database;
+    if (auto* error = std::get_if<StorageError>(&opened)) {
+        if (error->code != StorageError::Code::Damaged) return std::move(*error);
+    } else {
+        database = std::get<std::unique_ptr<Database>>(std::move(opened));
+        // Best effort: only create() needs the name to last.
+        [[maybe_unused]] const int result = sync_directory(directory);
+    }
     // The constructor is private, so std::make_unique cannot call it.
     return std::unique_ptr<DurableStore>(new DurableStore(directory, map_size_bytes, std::move(database)));
 }
 
+DurableStore::OpenResult DurableStore::create(const std::string& directory, std::size_t map_size_bytes,
+                                              const Records& records) {
+    const std::string name = std::string(kDatabaseFileName) + ".new";
+    if (const int error = remove_file(directory, name)) return storage_error("create", error);
+    {
+        auto opened = Database::open(directory + "/" + name, map_size_bytes);
+        if (auto* error = std::get_if<StorageError>(&opened)) return std::move(*error);
+        const auto& database = std::get<std::unique_ptr<Database>>(opened);
+        if (const int code = database->replace_all(records)) return storage_error("create", code);
+    }
+    if (const int error = rename_file(directory, name, kDatabaseFileName))
+        return storage_error("create", error);
+    return open(directory, map_size_bytes);
+}
+
+bool DurableStore::exists(const std::string& directory) {
+    return exists_in(directory, kDatabaseFileName);
+}
+
+std::variant<std::string, StorageError> DurableStore::set_aside(const std::string& directory) {
+    int number = 1;
+    while (number < kMaxDamagedFiles && exists_in(directory, damaged_file_name(number))) ++number;
+    std::string name = damaged_file_name(number);
+    if (const int error = rename_file(directory, kDatabaseFileName, name))
+        return storage_error("set aside", error);
+    return name;
+}
+
+bool DurableStore::has_damaged_files(const std::string& directory) {
+    return exists_in(directory, damaged_file_name(1));
+}
+
 LoadResult DurableStore::load() {
     LoadResult result;
     if (database_ && database_->read_all(result.records) == 0) return result;
@@ -260,7 +329,7 @@
 
 DurableStore::SaveResult DurableStore::save(const Records& records) {
     if (!database_) {
-        auto opened = Database::open(directory_, map_size_bytes_);
+        auto opened = Database::open(path_in(directory_), map_size_bytes_);
         if (auto* error = std::get_if<StorageError>(&opened)) return std::move(*error);
         database_ = std::get<std::unique_ptr<Database>>(std::move(opened));
     }
--- a/src/durable_store/durable_store.h
+++ b/src/durable_store/durable_store.h
@@ -18,6 +18,9 @@
 /// back as a new member.
 constexpr char kDatabaseFileName[] = "word.mdb";
 
+/// Damaged files that set_aside() keeps for a person; a later one replaces the last of them.
+constexpr int kMaxDamagedFiles = 3;
+
 /// Why an operation on the disk failed.
 struct StorageError {
     enum class Code : std::uint8_t {
@@ -26,16 +29,20 @@
         Other      ///< anything else, such as an I/O error or missing permission
     };
     Code code = Code::Other;
-    std::string_view operation;  ///< the failed step, a string literal: "open", "save"
+    std::string_view operation;  ///< the failed step, a string literal: "open", "check", "save"
     std::string message;         ///< operation and LMDB's text, for the log
 };
 
+/// @param operation a string literal
+/// @param code an errno, or one of LMDB's codes
+[[nodiscard]] StorageError storage_error(std::string_view operation, int code);
+
 /// Records by key. A key is at most 511 bytes long (LMDB's limit) and not empty.
 using Records = std::map<std::string, std::string>;
 
 struct LoadResult {
     Records records;       ///< empty if nothing was saved yet, or if `damaged`
-    bool damaged = false;  ///< a record cannot be read or fails its checksum: none of them can be relied on
+    bool damaged = false;  ///< the file or a record is damaged: none of the records can be relied on
 };
 
 class DurableStore {
@@ -45,8 +52,23 @@
 
     /// Opens kDatabaseFileName below `directory`, which must exist, or creates it. Syncs what is there before
     /// it returns. `map_size_bytes` is the most that the file may grow to; a larger file makes saves fail
-    /// with DiskFull.
+    /// with DiskFull. A damaged file is left as it is: load() says so, and save() fails.
     [[nodiscard]] static OpenResult open(const std::string& directory, std::size_t map_size_bytes);
+
+    /// Makes a file that holds `records`, in place of the one that is there, and opens it. After an error, or
+    /// a loss of power at any moment, the file from before is there: none that is written in part.
+    [[nodiscard]] static OpenResult create(const std::string& directory, std::size_t map_size_bytes,
+                                           const Records& records);
+
+    /// Returns whether `directory` has a file, whatever is in it.
+    [[nodiscard]] static bool exists(const std::string& directory);
+
+    /// Renames the file, so that a person can look at it and create() finds none. Returns its new name.
+    [[nodiscard]] static std::variant<std::string, StorageError> set_aside(const std::string& directory);
+
+    /// Returns whether set_aside() has left a file in `directory`.
+    [[nodiscard]] static bool has_damaged_files(const std::string& directory);
+
     ~DurableStore();
     DurableStore(const DurableStore&) = delete;
     DurableStore& operator=(const DurableStore&) = delete;
@@ -66,7 +88,8 @@
 
     std::string directory_;
     std::size_t map_size_bytes_;
-    std::unique_ptr<Database> database_;  // null after a failed save, until the next one
+    std::unique_ptr<Database>
+        database_;  // null if the file is damaged, and after a failed save until the next one
 };
 
 }  // namespace martenford::durable_store
--- a/src/event_log/event_catalogue.cpp
+++ b/src/event_log/event_catalogue.cpp
@@ -70,9 +70,11 @@
      "write "
      "succeeds."},
     {Event::StorageDamaged, "MG402", "storage.damaged", "strongbox.damaged", Severity::Error, 10,
-     "The records on disk are damaged. The controller rejoins as a new member."},
+     "The store on disk is damaged. Its file is kept for a person under the name that the line gives, and "
+     "the "
+     "controller rejoins as a new member."},
     {Event::NewMember, "MG403", "storage.new_member", "strongbox.fresh", Severity::Warning, 10,
-     "The data directory is empty though first_boot is false, or its records are damaged. The controller "
+     "The data directory is empty though first_boot is false, or its store is damaged. The controller "
      "joins as a new member without a vote."},
     {Event::EndpointSeen, "MG501", "endpoint.seen", nullptr, Severity::Info, 60,
      "A new endpoint sends heartbeats to this proxy or answers its health checks."},
--- a/tests/mesh/controller_test.cpp
+++ b/tests/mesh/controller_test.cpp
@@ -249,6 +249,18 @@
     CHECK(after_mismatch.state.last_entry.voters.empty());
 }
 
+TEST_CASE("initial state: what is left of a first boot that saved no state is the first boot again") {
+    StartConditions conditions = conditions_of(1, false);
+    conditions.first_boot_incomplete = true;
+    const raft::MemberId first_voter = initial_state({}, conditions_of(1, true), 99).state.self_id;
+    const durable_store::LoadResult torn{{}, true};
+    const InitialState initial = initial_state(torn, conditions, 99);
+    CHECK(initial.origin == StateOrigin::FirstBoot);
+    CHECK(initial.state.self_id == first_voter);
+    const raft::PersistentState saved = state_with_voters(5, {{5, kSeedAddresses[0]}});
+    CHECK(initial_state({rpc::to_records(saved), false}, conditions, 99).state.self_id == 5);
+}
+
 TEST_CASE("raft driver: state is persisted before messages are sent, watchers notified and calls answered") {
     SingleVoter candidate({{1, kSeedAddresses[0]}, {2, kSeedAddresses[1]}, {3, kSeedAddresses[2]}});
     candidate.run(2s);
--- a/tests/mesh/startup_test.cpp
+++ b/tests/mesh/startup_test.cpp
@@ -286,6 +286,18 @@
     check_ended_in_order(program.terminate());
 }
 
+// Guards against a system that never starts, since nobody made the data directories.
+TEST_CASE("start: a data directory that is not there is made at the first boot") {
+    const Machine machine = controller();
+    StartedProgram program(machine, [&] {
+        std::filesystem::remove(std::filesystem::path(std::getenv("MARTENFORD_CONFIG")).parent_path() /
+                                "data");
+    });
+    CHECK(wait_until_it_serves(program, at(machine.ip, Port::Control)));
+    CHECK(accepts_first_configuration({machine}, 10s));
+    check_ended_in_order(program.terminate());
+}
+
 // Guards against ends with 2, one after the other, while something else is about to provide the settings.
 TEST_CASE("settings: a file that is not there, or is a directory, is waited for") {
     for (const bool is_directory : {false, true}) {
--- a/tests/mesh/store_test.cpp
+++ b/tests/mesh/store_test.cpp
@@ -3,8 +3,11 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <random>
 
 #include "bootstrap/settings.h"
 #include "durable_store/durable_store.h"
@@ -98,6 +101,112 @@
     CHECK(damaged > 20);
 }
 
+namespace {
+
+std::string read_file(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+/// A store with branch pages, overflow pages and free pages, after some hundred saves.
+std::string store_of_many_saves(durable_store::Records& records) {
+    TemporaryDirectory directory;
+    std::mt19937_64 random(7);
+    {
+        auto store = open(directory.path, 8 << 20);
+        for (int i = 0; i < 300; ++i) {
+            const std::string name = "record " + std::to_string(random() % 60);
+            if (random() % 4 == 0) {
+                records.erase(name);
+            } else {
+                records[name] = std::string(random() % (i % 10 == 0 ? 60'000 : 700), 'a' + i % 26);
+            }
+            REQUIRE(save(*store, records));
+        }
+    }
+    return read_file(directory.database_file());
+}
+
+/// Loads the store with this file. Afterwards the store can be saved to unless it is damaged.
+durable_store::LoadResult load_image(const std::string& image) {
+    const TemporaryDirectory directory;
+    std::ofstream(directory.database_file(), std::ios::binary) << image;
+    const auto store = open(directory.path, 8 << 20);
+    auto loaded = store->load();
+    if (!loaded.damaged) CHECK(save(*store, {{"a", std::string(20'000, 'x')}, {"b", "y"}}));
+    return loaded;
+}
+
+}  // namespace
+
+TEST_CASE("durable store: the check of the file passes after every save") {
+    TemporaryDirectory directory;
+    durable_store::Records records;
+    std::mt19937_64 random(3);
+    for (int i = 0; i < 150; ++i) {
+        auto store = open(directory.path, 8 << 20);
+        REQUIRE_FALSE(store->load().damaged);
+        REQUIRE(store->load().records == records);
+        for (int saves = 0; saves < 4; ++saves) {
+            const std::string name = "record " + std::to_string(random() % 80);
+            if (random() % 3 == 0) {
+                records.erase(name);
+            } else {
+                records[name] = std::string(random() % (saves == 0 ? 90'000 : 900), 'r');
+            }
+            REQUIRE(save(*store, records));
+        }
+    }
+}
+
+// Guards against a process that ends since LMDB trusts a damaged page, and against an older state that is
+// taken for the newest: a voter that forgot its vote could vote twice in one term.
+TEST_CASE("durable store: each flipped bit of the meta pages is found, or changes nothing") {
+    durable_store::Records records;
+    const std::string image = store_of_many_saves(records);
+    constexpr std::size_t kMetaEnd = 16 + 136;
+    std::size_t found = 0;
+    for (const std::size_t page : {std::size_t{0}, kPageBytes}) {
+        for (std::size_t bit = 0; bit < 8 * kMetaEnd; ++bit) {
+            std::string flipped = image;
+            flipped[page + bit / 8] = static_cast<char>(flipped[page + bit / 8] ^ 1 << bit % 8);
+            const auto loaded = load_image(flipped);
+            found += loaded.damaged;
+            if (!loaded.damaged) CHECK(loaded.records == records);
+        }
+    }
+    CHECK(found > 500);
+}
+
+TEST_CASE("durable store: flipped bits, zeroed and swapped pages anywhere are found, or change nothing") {
+    durable_store::Records records;
+    const std::string image = store_of_many_saves(records);
+    std::mt19937_64 random(11);
+    const auto below = [&random](std::size_t end) { return static_cast<std::size_t>(random() % end); };
+    const std::size_t pages = image.size() / kPageBytes;
+    std::size_t found = 0;
+    for (int i = 0; i < 3000; ++i) {
+        std::string damaged = image;
+        char* const page = damaged.data() + below(pages) * kPageBytes;
+        if (i % 3 == 0) {
+            std::fill_n(page, kPageBytes, '\0');
+        } else if (i % 3 == 1) {
+            char* const other = damaged.data() + below(pages) * kPageBytes;
+            std::swap_ranges(page, page + kPageBytes, other);
+        } else {
+            // Headers, offsets and nodes: the first and last bytes of a page.
+            for (std::size_t n = 1 + below(4); n > 0; --n) {
+                char& byte = page[below(2) == 0 ? below(64) : kPageBytes - 1 - below(64)];
+                byte = static_cast<char>(byte ^ 1 << below(8));
+            }
+        }
+        const auto loaded = load_image(damaged);
+        found += loaded.damaged;
+        if (!loaded.damaged) CHECK(loaded.records == records);
+    }
+    CHECK(found > 300);
+}
+
 TEST_CASE(
     "durable store: after a save that lost any one of its data pages, the records of the save before are "
     "read") {
