Plays: lost disks come back damaged as well, and first starts are disturbed

A disk that a play loses comes back empty or with a damaged store (eight kinds, shared with mesh_disk_states); of the first three controllers all but one are killed in their first 4 ms, once or twice, in every second triple of seeds.

EventLoop::resume() now restarts Asio's context too: it stops where nothing is left to wait for, and the sockets of a second run() were never read (found by a play that ran the loop before it had a socket; the programs run it once). A play whose system does not start says so, where it divided by zero.

--- a/src/core/loop.h
+++ b/src/core/loop.h
@@ -28,7 +28,10 @@
     void run();
     void stop() { stopped_ = true; }
     /// Allows run() to be called again after stop().
-    void resume() { stopped_ = false; }
+    void resume() {
+        stopped_ = false;
+        io_.restart();  // it has stopped if nothing was left to wait for when run() returned
+    }
 
   private:
     void fire_due();
--- a/tests/mesh/disk_states_test.cpp
+++ b/tests/mesh/disk_states_test.cpp
@@ -3,7 +3,6 @@
 #include <doctest/doctest.h>
 #include <sys/resource.h>
 
-#include <algorithm>
 #include <cstdint>
 #include <filesystem>
 #include <fstream>
@@ -16,6 +15,7 @@
 
 #include "mesh/rig/control_calls.h"
 #include "mesh/rig/started_program.h"
+#include "mesh/rig/store_damage.h"
 
 using namespace martenford;
 using namespace martenford::rig;
@@ -26,15 +26,13 @@
 /// Short, so that each end in order is.
 const std::string kBounds = "bounds = [\"drain_ms=100\", \"grace_s=1\"]\n";
 
-constexpr std::size_t kPageBytes = 4096;
-
 std::string read_file(const std::string& path) {
     std::ifstream file(path, std::ios::binary);
     return {std::istreambuf_iterator<char>(file), {}};
 }
 
 std::string store_of(const StartedProgram& program) {
-    return program.data_directory() + "/word.mdb";
+    return program.data_directory() + "/" + kStoreFileName;
 }
 
 Machine lone_controller() {
@@ -56,53 +54,6 @@
     return true;
 }
 
-/// Ways in which a file can be damaged.
-enum class Damage { FlippedBits, RandomPage, ZeroPage, SwappedPages, Cut, CutAndZero, AllZero, Random };
-constexpr int kDamages = 8;
-
-std::string damaged(std::string image, Damage damage, std::mt19937_64& random) {
-    const auto below = [&random](std::size_t end) { return static_cast<std::size_t>(random() % end); };
-    const std::size_t pages = image.size() / kPageBytes;
-    const std::size_t page = below(pages) * kPageBytes;
-    const std::size_t other = below(pages) * kPageBytes;
-    const auto randomize = [&](std::size_t begin, std::size_t end) {
-        for (std::size_t i = begin; i < end; ++i) image[i] = static_cast<char>(below(256));
-    };
-    switch (damage) {
-        case Damage::FlippedBits:
-            for (std::size_t n = 1 + below(20); n > 0; --n) image[below(image.size())] ^= 1 << below(8);
-            break;
-        case Damage::RandomPage:
-            randomize(page, page + kPageBytes);
-            break;
-        case Damage::ZeroPage:
-            std::fill_n(image.begin() + static_cast<std::ptrdiff_t>(page), kPageBytes, '\0');
-            break;
-        case Damage::SwappedPages:
-            std::swap_ranges(image.begin() + static_cast<std::ptrdiff_t>(page),
-                             image.begin() + static_cast<std::ptrdiff_t>(page + kPageBytes),
-                             image.begin() + static_cast<std::ptrdiff_t>(other));
-            break;
-        case Damage::Cut:
-            image.resize(below(image.size()));
-            break;
-        case Damage::CutAndZero: {
-            const std::size_t size = image.size();
-            image.resize(below(size));
-            image.resize(size, '\0');
-            break;
-        }
-        case Damage::AllZero:
-            image.assign(image.size(), '\0');
-            break;
-        case Damage::Random:
-            image.resize(20'000);
-            randomize(0, image.size());
-            break;
-    }
-    return image;
-}
-
 /// The store of a controller that has taken a configuration.
 std::string sound_store() {
     const Machine machine = lone_controller();
@@ -131,7 +82,7 @@
         StartedProgram program(machine, [] { ::_exit(0); });
         program.wait_for_exit();
         std::ofstream(store_of(program), std::ios::binary)
-            << damaged(sound, static_cast<Damage>(i % kDamages), random);
+            << damaged(sound, static_cast<Damage>(i % kDamageKinds), random);
         machine.first_boot = i % 2 == 0;
         program.start_again(machine);
         CHECK(serves(program, machine, 10s));
@@ -172,7 +123,7 @@
     StartedProgram program(machine);
     REQUIRE(accepts_first_configuration({machine}, 10s));
     program.terminate();
-    std::filesystem::resize_file(store_of(program), kPageBytes);
+    std::filesystem::resize_file(store_of(program), kStorePageBytes);
     for (int start = 0; start < 3; ++start) {
         program.start_again(machine);
         REQUIRE(serves(program, machine, 10s));
--- a/tests/mesh/plays_test.cpp
+++ b/tests/mesh/plays_test.cpp
@@ -1,5 +1,6 @@
 // Real controllers and proxies under random faults, with two operators and a checker of what these, the
-// clients and the endpoints observed. Three short plays; tests/long/mesh_schedules.sh runs more and longer
+// clients and the endpoints observed. A disk that is lost comes back empty or damaged, and some first starts
+// are disturbed. Three short plays; tests/long/mesh_schedules.sh runs more and longer
 // ones. MARTENFORD_SEED selects a single play, MARTENFORD_COURSE=1 prints its transcript.
 #include <doctest/doctest.h>
 
@@ -42,6 +43,7 @@
         options.controllers = from_environment("MARTENFORD_CONTROLLERS", 3 + options.seed % 3);
         options.fault_window = 1s * from_environment("MARTENFORD_SPAN", 25);
         options.planned_only = from_environment("MARTENFORD_PLANNED", 0) != 0;
+        options.disturb_first_start = from_environment("MARTENFORD_DISTURB_START", options.seed / 3 % 2) != 0;
         return check_play(options);
     }
     options.fault_window = 2500ms;
@@ -52,6 +54,7 @@
         options.controllers = controllers;
         options.seed = seed;
         options.planned_only = controllers == 4;
+        options.disturb_first_start = controllers == 3;
         check_play(options);
     }
 }
--- a/tests/mesh/rig/play.cpp
+++ b/tests/mesh/rig/play.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <iomanip>
+#include <stdexcept>
 
 #include "mesh/rig/play_run.h"
 
@@ -47,19 +48,22 @@
 }
 
 void Play::start() {
+    poll_processes();
     for (std::size_t i = 0; i < controllers_.size(); ++i) start_controller(i);
+    if (options_.disturb_first_start) disturb_first_start();
     for (std::size_t i = 0; i < kProxies; ++i) {
         start_proxy(i);
         start_endpoint(i);
         heartbeat_periodically(i);
     }
-    poll_processes();
     OperatorEnvironment& environment = *this;
     for (int number = 0; number < 2; ++number) {
         operators_.push_back(std::make_unique<Operator>(environment, number));
         operators_.back()->start();
     }
     wait_for("a first configuration", [this] { return acknowledged() > 0; });
+    take_logs();
+    if (acknowledged() == 0) throw std::runtime_error("the system did not start:\n" + transcript_.str());
     first_boot_ = false;
     for (std::size_t i = 0; i < kProxies; ++i) {
         for (const bool keeps_alive : {false, true}) clients_.push_back({i, keeps_alive, nullptr, false});
--- a/tests/mesh/rig/play.h
+++ b/tests/mesh/rig/play.h
@@ -12,9 +12,12 @@
 
 struct PlayOptions {
     std::uint64_t seed = 1;
-    std::size_t controllers = 3;     // 3 to 5; of five, two failures at once are tolerated, else one
-    Duration fault_window{4s};       // in which faults start
-    bool planned_only = false;       // SIGTERM only
+    std::size_t controllers = 3;  // 3 to 5; of five, two failures at once are tolerated, else one
+    Duration fault_window{4s};    // in which faults start
+    bool planned_only = false;    // SIGTERM only
+    /// Of the first three controllers all but one are killed in their first milliseconds, and return as after
+    /// the first boot.
+    bool disturb_first_start = false;
     Duration recovery_timeout{20s};  // until everything is served again after the last repair
 };
 
--- a/tests/mesh/rig/play_faults.cpp
+++ b/tests/mesh/rig/play_faults.cpp
@@ -76,7 +76,7 @@
     const bool graceful = fault.kind == FaultKind::TermReturn;
     end_controller(i, graceful ? Processes::Termination::Graceful : Processes::Termination::Kill,
                    [this, i, fault] {
-                       if (fault.kind == FaultKind::Wipe) processes_.wipe(controller_name(i));
+                       if (fault.kind == FaultKind::Wipe) lose_disk(i);
                        repair_later(fault, [this, i] { start_controller(i); });
                    });
 }
@@ -136,7 +136,7 @@
         killed.push_back(i);
         processes_.terminate(controller_name(i), Processes::Termination::Kill, loop_.now(), kTerminationGrace,
                              [this, i, wipe = k < wiped](int) {
-                                 if (wipe) processes_.wipe(controller_name(i));
+                                 if (wipe) lose_disk(i);
                              });
     }
     if (fault.kind == FaultKind::WipeToleratedKillRest) kill_all_proxies(fault.lasts);
--- a/tests/mesh/rig/play_machines.cpp
+++ b/tests/mesh/rig/play_machines.cpp
@@ -1,12 +1,22 @@
 // Processes and endpoints of a play.
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "mesh/rig/play_run.h"
+#include "mesh/rig/store_damage.h"
 
 namespace martenford::rig {
 
 namespace {
 
+/// Controllers that the settings name.
+constexpr std::size_t kSeeds = 3;
+/// In which a controller leaves its first trace on disk.
+constexpr std::size_t kFirstMilliseconds = 4;
+
+constexpr Duration kRestartDelay = 100ms;
+
 std::string zone_of(std::size_t machine) {
     return "zone-" + std::to_string(machine % 3);
 }
@@ -37,20 +47,59 @@
         for (std::size_t i = order.size(); i > 1; --i) std::swap(order[i - 1], order[random_below(i)]);
     }
     for (const std::size_t i : order) {
-        if (!controllers_[i].removed && machine.seeds.size() < 3)
+        if (!controllers_[i].removed && machine.seeds.size() < kSeeds)
             machine.seeds.push_back(at(controllers_[i].ip, Port::Control));
     }
     return machine;
 }
 
-void Play::start_controller(std::size_t i) {
+Machine Play::controller_settings(std::size_t i) {
     Machine machine = machine_settings(i);
     machine.name = controller_name(i);
     machine.ip = controllers_[i].ip;
     machine.top += "loss_counted = true\nserves = [\"control_plane\"]\n";
+    return machine;
+}
+
+void Play::start_controller(std::size_t i) {
+    processes_.start(controller_settings(i));
+}
+
+void Play::disturb_first_start() {
+    // All but one of the seeds: what no disk has seen cannot be known.
+    std::vector<std::size_t> victims;
+    const std::size_t survivor = random_below(kSeeds);
+    for (std::size_t i = 0; i < kSeeds; ++i) {
+        if (i != survivor) victims.push_back(i);
+    }
+    const std::size_t rounds = 1 + random_below(2);
+    for (std::size_t round = 0; round < rounds; ++round) {
+        run_for(1ms * static_cast<int>(random_below(kFirstMilliseconds)));
+        for (const std::size_t i : victims) {
+            end_controller(i, Processes::Termination::Kill, [this, i] {
+                loop_.add(loop_.now() + kRestartDelay, [this, i] { restart_in_first_start(i); });
+            });
+        }
+        wait_for("controllers that are started again", [&] {
+            return std::all_of(victims.begin(), victims.end(), [this](std::size_t i) {
+                return processes_.is_up(controller_name(i)) && !terminating_.contains(i);
+            });
+        });
+    }
+}
+
+void Play::restart_in_first_start(std::size_t i) {
+    Machine machine = controller_settings(i);
+    machine.first_boot = false;
     processes_.start(machine);
 }
 
+void Play::lose_disk(std::size_t i) {
+    if (random_below(2) == 0) return processes_.wipe(controller_name(i));
+    note("damaged " + controller_name(i));
+    damage_store(processes_.directory() + "/" + controller_name(i), random_);
+}
+
 void Play::start_proxy(std::size_t i) {
     Machine machine = machine_settings(i);
     machine.name = proxy_name(i);
--- a/tests/mesh/rig/play_run.h
+++ b/tests/mesh/rig/play_run.h
@@ -91,7 +91,14 @@
     static std::string proxy_ip(std::size_t i) { return Processes::ip(101 + i); }
     static std::string service_of(std::size_t proxy) { return proxy % 2 ? "vault" : "web"; }
     Machine machine_settings(std::size_t index);
+    Machine controller_settings(std::size_t i);
     void start_controller(std::size_t i);
+    /// Kills controllers while they start for the first time, some of them twice.
+    void disturb_first_start();
+    /// Starts one again that was killed in its first start.
+    void restart_in_first_start(std::size_t i);
+    /// The disk is empty, or the file on it is damaged. The controller does not run.
+    void lose_disk(std::size_t i);
     void start_proxy(std::size_t i);
     void start_endpoint(std::size_t i);
     Endpoint::Handling handle(const std::string& instance, const std::string& service,
