Controller: a directory that is there is not made, and need not be able to sync

Looked through after: mkdir() may be refused on a directory that is there, and some file systems answer EINVAL to a sync of a directory; either would have kept a controller from starting for good. Checked by mesh_disk_model and mesh_startup; neither file system was at hand to show it.

--- a/src/controller/register_storage.cpp
+++ b/src/controller/register_storage.cpp
@@ -50,6 +50,7 @@
 
 std::optional<StorageError> make_missing_directory(const std::string& directory) {
     std::error_code error;
+    if (std::filesystem::is_directory(directory, error)) return std::nullopt;
     std::filesystem::create_directory(directory, error);
     if (!error) return std::nullopt;
     return durable_store::storage_error("create the data directory", error.value());
--- a/src/durable_store/durable_file.cpp
+++ b/src/durable_store/durable_file.cpp
@@ -52,7 +52,10 @@
 int sync_directory(const std::string& directory) {
     const FileDescriptor opened(directory, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (!opened.is_open()) return errno;
-    return ::fsync(opened.number()) == 0 ? 0 : errno;
+    if (::fsync(opened.number()) == 0) return 0;
+    // A file system that cannot sync directories says so by one of these.
+    const bool is_unsupported = errno == EINVAL || errno == ENOTSUP;
+    return is_unsupported ? 0 : errno;
 }
 
 int replace_file(const std::string& directory, const std::string& name, std::string_view content) {
