Settings: fault_tolerance is Raft's struct, which stood twice

bootstrap::FaultTolerance and raft::FaultTolerance were one struct twice, copied field by field. The programs' settings use Raft's. mesh_tests pass.

--- a/src/bootstrap/settings.cpp
+++ b/src/bootstrap/settings.cpp
@@ -17,6 +17,7 @@
 
 using mesh_config::ConfigError;
 using mesh_config::Json;
+using raft::FaultTolerance;
 
 // The file as it is: members have the names of its fields and their defaults.
 
--- a/src/bootstrap/settings.h
+++ b/src/bootstrap/settings.h
@@ -13,6 +13,7 @@
 
 #include "core/address.h"
 #include "core/scheduler.h"
+#include "raft/voter_selection.h"
 
 namespace martenford::bootstrap {
 
@@ -69,13 +70,6 @@
     double quota_slack = 20;
 };
 
-/// `fault_tolerance`: what may fail at the same time with every guarantee kept. Each from 0 to 5.
-struct FaultTolerance {
-    std::size_t machines = 1;  ///< `machines`: those with `loss_counted`. Default: 1.
-    std::size_t zones = 0;     ///< `zones`: complete zones. Default: 0.
-    std::size_t regions = 0;   ///< `regions`: complete regions. Default: 0.
-};
-
 struct Settings {
     /// `node_name`: this machine's name, the key of its proxy's registration. Required.
     std::string node_name;
@@ -90,7 +84,9 @@
     /// `service`: the service of the endpoint beside this proxy. Default: empty.
     std::string service;
 
-    FaultTolerance fault_tolerance;
+    /// `fault_tolerance`, `.machines` (those with `loss_counted`), `.zones`, `.regions`, each 0 to 5: what
+    /// may fail at the same time with every guarantee kept. Default: one machine.
+    raft::FaultTolerance fault_tolerance;
 
     /// `loss_counted`: whether the loss of this machine counts for `fault_tolerance.machines`. Default: true.
     bool loss_counted = true;
--- a/src/controller/options.cpp
+++ b/src/controller/options.cpp
@@ -19,14 +19,12 @@
 }  // namespace
 
 raft::RaftOptions raft_options(const bootstrap::Settings& settings) {
-    const bootstrap::FaultTolerance& configured = settings.fault_tolerance;
     const Duration replace_after =
         settings.bounds.catch_up * kReplaceVoterNumerator / kReplaceVoterDenominator;
 
     raft::RaftOptions options;
-    options.fault_tolerance.machines = std::max(configured.machines, kMinToleratedMachines);
-    options.fault_tolerance.zones = configured.zones;
-    options.fault_tolerance.regions = configured.regions;
+    options.fault_tolerance = settings.fault_tolerance;
+    options.fault_tolerance.machines = std::max(options.fault_tolerance.machines, kMinToleratedMachines);
     options.replace_voter_after =
         std::clamp<Duration>(replace_after, kMinReplaceVoterAfter, kMaxReplaceVoterAfter);
     return options;
--- a/src/controller/raft_status_log.h
+++ b/src/controller/raft_status_log.h
@@ -14,7 +14,7 @@
     using OnNewVoters = std::function<void(const std::vector<raft::Member>&)>;
 
     /// `tolerance` is as configured, for the warning that the voters don't meet it.
-    RaftStatusLog(const raft::RaftNode& raft, bootstrap::FaultTolerance tolerance, OnNewVoters on_new_voters)
+    RaftStatusLog(const raft::RaftNode& raft, raft::FaultTolerance tolerance, OnNewVoters on_new_voters)
         : raft_(raft), tolerance_(tolerance), on_new_voters_(std::move(on_new_voters)) {}
 
     /// Logs what has changed since the last call, and reports a new set of voters. During joint consensus
@@ -27,7 +27,7 @@
     void log_voters();
 
     const raft::RaftNode& raft_;
-    const bootstrap::FaultTolerance tolerance_;
+    const raft::FaultTolerance tolerance_;
     OnNewVoters on_new_voters_;
     bool was_leader_ = false;
     std::vector<raft::Member> voters_;
