Controller: a first start that failed on all seeds is told, and can be repeated

What a runner saw: three of three controllers that were ended before any trace of the first start came back as new members, and no line said what to do; first_boot = true changed nothing, as their stores were there.

Cause: nothing on any disk tells such a start from three lost disks, so no program may decide it.

Change: a new member that knows no voter for 10 s says so (MG308), and what a person may do. A new member whose store began on an empty disk, and that has never voted nor heard of a voter, takes part in a first boot that the settings ask for again.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -94,7 +94,7 @@
     effects.send = [this](const raft::Message& message) { peers_.send(loop_.now(), message); };
     effects.notify_watchers = [this] { watchers_.notify_if_config_changed(); };
     effects.process_pending_calls = [this] { config_service_.process_pending(loop_.now()); };
-    effects.on_idle = [this] { raft_status_log_.update(); };
+    effects.on_idle = [this] { raft_status_log_.update(loop_.now()); };
     return effects;
 }
 
--- a/src/controller/raft_status_log.cpp
+++ b/src/controller/raft_status_log.cpp
@@ -9,8 +9,9 @@
 using event_log::Event;
 using event_log::log_event;
 
-void RaftStatusLog::update() {
+void RaftStatusLog::update(Time now) {
     log_role();
+    log_unknown_voters(now);
     const raft::LogEntry& entry = raft_.persistent_state().last_entry;
     if (!entry.outgoing_voters.empty() || entry.voters == voters_) return;
     const bool is_first_start_repaired = !voters_.empty() && entry.position == raft::LogPosition{};
@@ -21,6 +22,15 @@
     log_voters();
 }
 
+void RaftStatusLog::log_unknown_voters(Time now) {
+    if (!raft_.persistent_state().last_entry.voters.empty()) return;
+    if (next_unknown_voters_log_at_ == Time{}) next_unknown_voters_log_at_ = now + kUnknownVotersLogInterval;
+    if (now < next_unknown_voters_log_at_) return;
+    next_unknown_voters_log_at_ = now + kUnknownVotersLogInterval;
+    log_event(Event::VotersUnknown,
+              "no voter is known; if the first start failed, repeat it with first_boot");
+}
+
 void RaftStatusLog::log_role() {
     const bool is_leader = raft_.role() == raft::RaftNode::Role::Leader;
     if (is_leader == was_leader_) return;
--- a/src/controller/raft_status_log.h
+++ b/src/controller/raft_status_log.h
@@ -9,6 +9,10 @@
 
 namespace martenford::controller {
 
+/// For so long a new member waits for a leader before it says that it knows no voter; and between two such
+/// lines.
+inline constexpr Duration kUnknownVotersLogInterval = 10s;
+
 class RaftStatusLog {
   public:
     using OnNewVoters = std::function<void(const std::vector<raft::Member>&)>;
@@ -20,9 +24,11 @@
     /// Logs what has changed since the last call, and reports a new set of voters. During joint consensus
     /// (Raft section 6) the set is not reported yet: while the outgoing voters still count, the new ones
     /// alone say nothing about the losses that are tolerated.
-    void update();
+    void update(Time now);
 
   private:
+    /// A first start of which no controller has left a trace cannot be told from lost disks: a person must.
+    void log_unknown_voters(Time now);
     void log_role();
     void log_voters();
 
@@ -31,6 +37,7 @@
     OnNewVoters on_new_voters_;
     bool was_leader_ = false;
     std::vector<raft::Member> voters_;
+    Time next_unknown_voters_log_at_{};  // Time{}: not drawn up yet
 };
 
 }  // namespace martenford::controller
--- a/src/controller/register_storage.cpp
+++ b/src/controller/register_storage.cpp
@@ -56,17 +56,6 @@
     return durable_store::storage_error("create the data directory", error.value());
 }
 
-/// Records a first boot that begins now, so that the next process takes it up if this one ends before it has
-/// saved a state.
-std::optional<StorageError> begin_first_boot(const std::string& directory,
-                                             const StartConditions& conditions) {
-    if (!conditions.first_boot) return std::nullopt;
-    if (auto error = make_missing_directory(directory)) return error;
-    // A store, or what was left of one, tells that this disk's first boot is over, whatever the settings say.
-    if (DurableStore::exists(directory) || DurableStore::has_damaged_files(directory)) return std::nullopt;
-    return write_first_boot_record(directory, {conditions.seed_addresses});
-}
-
 /// The settings' conditions, with what the disk says of the first boot.
 StartConditions conditions_on_disk(const std::string& directory, const StartConditions& settings) {
     StartConditions conditions = settings;
@@ -78,6 +67,14 @@
     return conditions;
 }
 
+/// Whether the state is that of a new member that began on an empty disk, and has never heard of a voter.
+bool is_untouched_new_member(const LoadResult& loaded) {
+    if (loaded.damaged || !loaded.records.contains(kBeganEmptyKey)) return false;
+    const auto state = rpc::from_records(loaded.records);
+    return state && state->term == 0 && state->last_entry.position == raft::LogPosition{} &&
+           state->last_entry.voters.empty();
+}
+
 /// What is on the disk. A store without a record was never saved in whole: that is damage, too.
 struct FoundStore {
     std::unique_ptr<DurableStore> store;  // null: there is none
@@ -95,6 +92,30 @@
     return found;
 }
 
+/// The seeds may be told once more that this is the first boot, if an attempt at it has failed on all of
+/// them.
+std::optional<StorageError> forget_untouched_new_member(const std::string& directory) {
+    bool is_untouched = false;
+    {
+        const auto found = find_store(directory);
+        if (const auto* error = std::get_if<StorageError>(&found)) return *error;
+        is_untouched = is_untouched_new_member(std::get<FoundStore>(found).loaded);
+    }
+    return is_untouched ? DurableStore::remove(directory) : std::nullopt;
+}
+
+/// Records a first boot that begins now, so that the next process takes it up if this one ends before it has
+/// saved a state.
+std::optional<StorageError> begin_first_boot(const std::string& directory,
+                                             const StartConditions& conditions) {
+    if (!conditions.first_boot) return std::nullopt;
+    if (auto error = make_missing_directory(directory)) return error;
+    if (auto error = forget_untouched_new_member(directory)) return error;
+    // A store, or what was left of one, tells that this disk's first boot is over, whatever the settings say.
+    if (DurableStore::exists(directory) || DurableStore::has_damaged_files(directory)) return std::nullopt;
+    return write_first_boot_record(directory, {conditions.seed_addresses});
+}
+
 std::optional<StorageError> set_damaged_store_aside(const std::string& directory) {
     const auto kept_as = DurableStore::set_aside(directory);
     if (const auto* error = std::get_if<StorageError>(&kept_as)) return *error;
--- a/src/durable_store/durable_store.cpp
+++ b/src/durable_store/durable_store.cpp
@@ -308,6 +308,12 @@
     return exists_in(directory, kDatabaseFileName);
 }
 
+std::optional<StorageError> DurableStore::remove(const std::string& directory) {
+    const int error = remove_file(directory, kDatabaseFileName);
+    if (error == 0) return std::nullopt;
+    return storage_error("remove", error);
+}
+
 std::variant<std::string, StorageError> DurableStore::set_aside(const std::string& directory) {
     int number = 1;
     while (number < kMaxDamagedFiles && exists_in(directory, damaged_file_name(number))) ++number;
--- a/src/durable_store/durable_store.h
+++ b/src/durable_store/durable_store.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -63,6 +64,9 @@
     /// Returns whether `directory` has a file, whatever is in it.
     [[nodiscard]] static bool exists(const std::string& directory);
 
+    /// Removes the file for good.
+    [[nodiscard]] static std::optional<StorageError> remove(const std::string& directory);
+
     /// Renames the file, so that a person can look at it and create() finds none. Returns its new name.
     [[nodiscard]] static std::variant<std::string, StorageError> set_aside(const std::string& directory);
 
--- a/src/event_log/event_catalogue.cpp
+++ b/src/event_log/event_catalogue.cpp
@@ -69,6 +69,9 @@
      "The other first voters were lost before the first start of the system was complete. The new "
      "controllers "
      "at their addresses have taken their places."},
+    {Event::VotersUnknown, "MG308", "raft.voters_unknown", nullptr, Severity::Warning, 10,
+     "This new member has heard of no voter for 10 s. It goes on looking. If the first start of the system "
+     "failed on all seeds, restart them with first_boot = true."},
     {Event::StorageFailed, "MG401", "storage.write_failed", "strongbox.trouble", Severity::Error, 12,
      "The data directory could not be opened or written. The controller acknowledges nothing until a "
      "write "
--- a/src/event_log/event_log.h
+++ b/src/event_log/event_log.h
@@ -34,6 +34,7 @@
     VoteKept,
     FaultToleranceNotMet,
     FirstStartRepaired,
+    VotersUnknown,
     StorageFailed,
     StorageDamaged,
     NewMember,
--- a/tests/mesh/first_boot_test.cpp
+++ b/tests/mesh/first_boot_test.cpp
@@ -80,6 +80,28 @@
     CHECK(directory.open(kSeeds, false).last_entry.voters.empty());
 }
 
+// Guards against a system that can't be started once its first start has failed on all seeds.
+TEST_CASE(
+    "first boot: a new member that has never heard of a voter takes part in a first boot that is repeated") {
+    const raft::PersistentState undisturbed = DataDirectory().open(kSeeds, true);
+    const DataDirectory directory;
+    CHECK(directory.open(kSeeds, false).last_entry.voters.empty());
+    CHECK(directory.open(kSeeds, true).self_id == undisturbed.self_id);
+    CHECK(directory.open(kSeeds, true).self_id == undisturbed.self_id);
+}
+
+TEST_CASE("first boot: a new member that has voted, or knows voters, takes part in no first boot") {
+    for (const bool has_voted : {true, false}) {
+        CAPTURE(has_voted);
+        const DataDirectory directory;
+        OpenedRegister opened = directory.open_all(kSeeds, false);
+        if (has_voted) opened.state.term = 1;
+        if (!has_voted) opened.state.last_entry.voters = {{7, kSeeds[1]}};
+        REQUIRE_FALSE(opened.storage.save(opened.state));
+        CHECK(directory.open(kSeeds, true).self_id == opened.state.self_id);
+    }
+}
+
 TEST_CASE("first boot: a record beside a saved state counts for nothing") {
     const DataDirectory directory;
     const raft::PersistentState new_member = directory.open(kSeeds, false);
--- a/tests/mesh/startup_test.cpp
+++ b/tests/mesh/startup_test.cpp
@@ -394,6 +394,22 @@
     }
 }
 
+// Guards against a system that nobody can start any more: what failed on all seeds is told, and can be
+// repeated.
+TEST_CASE("first start: one that failed on all controllers is told, and can be repeated") {
+    std::vector<Machine> machines = three_controllers(kBounds);
+    for (Machine& machine : machines) machine.first_boot = false;
+    std::vector<std::unique_ptr<StartedProgram>> programs;
+    for (const Machine& machine : machines) programs.push_back(std::make_unique<StartedProgram>(machine));
+    for (const auto& program : programs) CHECK(program->wait_for_log("MG308"));
+    for (std::size_t i = 0; i < machines.size(); ++i) {
+        check_ended_in_order(programs[i]->terminate());
+        machines[i].first_boot = true;
+        programs[i]->start_again(machines[i]);
+    }
+    CHECK(accepts_first_configuration(machines, 10s));
+}
+
 // Guards against the same where nothing on their disks tells such a start from a lost disk.
 TEST_CASE("first start: controllers that end before any trace on disk") {
     CHECK(first_start_recovers(2, [](const StartedProgram&) {}));
