Proxy: an answer may have any length

Cause: the longest body of the load balancer's platform bounded the answers of the mesh, whose pages name no such bound.

Change: the limit is the protocol's (max_answer_bytes). The load balancer's is as before.

The memory of 50 such answers at once was not measured.

--- a/src/http1/endpoint_connection.cpp
+++ b/src/http1/endpoint_connection.cpp
@@ -131,7 +131,7 @@
 void EndpointConnection::write() {
     stage_ = Stage::Writing;
     interim_count_ = 0;
-    reset_parser(parser_);
+    reset_parser(parser_, kMaxHeaderBytes, pool_.protocol_.max_answer_bytes());
     outgoing_->run(socket_, shared_from_this(), [self = shared_from_this()](const error_code& error) {
         if (self->stage_ != Stage::Writing) return;
         if (error) return self->handle_write_error(error);
@@ -241,7 +241,7 @@
         // Guards against taking an interim answer for the final one.
         if (parser_->get().result_int() / 100 != 1) break;
         if (++interim_count_ > kMaxInterimAnswers) return end_attempt(Status::Error);
-        reset_parser(parser_);
+        reset_parser(parser_, kMaxHeaderBytes, pool_.protocol_.max_answer_bytes());
     }
     if (parser_->is_done()) return handle_complete_answer();
     if (parser_->is_header_done()) handle_partial_answer();
@@ -256,7 +256,7 @@
     pool_.skipped_.add();
     ++origin_.skipped;
     if (++interim_count_ > kMaxInterimAnswers || !parser_->keep_alive()) return end_attempt(Status::Reset);
-    reset_parser(parser_);
+    reset_parser(parser_, kMaxHeaderBytes, pool_.protocol_.max_answer_bytes());
     if (buffer_.size() > 0) parse();
 }
 
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -119,6 +119,8 @@
     virtual bool forwards_heads() const { return false; }
     /// Whether an answer without a stated length may end with the connection.
     virtual bool allows_close_delimited() const { return true; }
+    /// An answer whose body is longer fails.
+    virtual std::uint64_t max_answer_bytes() const { return kMaxBodyBytes; }
 };
 
 /// Removes the fields that concern one connection alone (RFC 9110, section 7.6.1): those that HTTP defines as
--- a/src/proxy/inbound_protocol.h
+++ b/src/proxy/inbound_protocol.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -77,6 +78,10 @@
     [[nodiscard]] FieldNames end_to_end_fields() const override { return kEndpointFields; }
     [[nodiscard]] bool forwards_heads() const override { return true; }
     [[nodiscard]] bool allows_close_delimited() const override { return false; }
+    /// Nothing bounds an answer but its request's deadline: it passes through, and little of it is held.
+    [[nodiscard]] std::uint64_t max_answer_bytes() const override {
+        return std::numeric_limits<std::uint64_t>::max();
+    }
 
   private:
     admission::AdmissionController& admission_;
--- a/src/proxy/outbound_protocol.h
+++ b/src/proxy/outbound_protocol.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -112,6 +113,10 @@
     [[nodiscard]] FieldNames end_to_end_fields() const override { return kEndpointFields; }
     [[nodiscard]] bool forwards_heads() const override { return true; }
     [[nodiscard]] bool allows_close_delimited() const override { return false; }
+    /// Nothing bounds an answer but its request's deadline: it passes through, and little of it is held.
+    [[nodiscard]] std::uint64_t max_answer_bytes() const override {
+        return std::numeric_limits<std::uint64_t>::max();
+    }
 
   private:
     struct Upstream {
--- a/tests/mesh/shutdown_test.cpp
+++ b/tests/mesh/shutdown_test.cpp
@@ -49,3 +49,18 @@
     REQUIRE(world.downloads().size() == 1);
     CHECK(world.downloads()[0].response.status == 200);
 }
+
+// Guards against an answer that is cut since it is longer than a constant of the program.
+TEST_CASE("planned stop: an answer of 46 MB comes whole around a reload") {
+    ShutdownWorld world(3, 2);
+    world.start();
+    world.set_answers(46'000'000, 2'000'000);  // 1.2 s
+    world.download(0, 15s);
+    world.fleet().run_for(300ms);
+    world.fleet().reload(0);
+    world.settle();
+    CHECK(text_of(world.violations()).empty());
+    REQUIRE(world.downloads().size() == 1);
+    CHECK(world.downloads()[0].response.status == 200);
+    CHECK(world.downloads()[0].response.body.size() >= 46'000'000);
+}
