Answers: the head of two answers is no answer's

Cause: what follows on a kept connection was taken for the next answer from its first byte on, any Not-Executed for a proof, and the first Attempt-Id of several for the tie.

Change: a head in which a status line stands, in the reason or in a field's value, or in which a deciding field or Content-Length stands twice, proves nothing: the connection ends, and the request may have run. That is where a joined head shows: all other cuts are refused by the parser.

--- a/src/http1/endpoint_connection.cpp
+++ b/src/http1/endpoint_connection.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "core/transport.h"
+#include "http1/answer_head.h"
 #include "http1/protocol.h"
 
 namespace martenford {
@@ -240,6 +241,9 @@
             return stage_ == Stage::Streaming ? close() : end_attempt(Status::Error);
         }
         if (stage_ == Stage::Streaming) return forward_piece();
+        if (parser_->is_header_done() &&
+            !is_one_answer(parser_->get(), pool_.protocol_.fields_that_stand_once()))
+            return end_attempt(Status::Reset);
         if (!parser_->is_done()) break;
         // Guards against taking an interim answer for the final one.
         if (parser_->get().result_int() / 100 != 1) break;
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -115,6 +115,8 @@
                                                      const HttpMessage* message, EndpointId from) = 0;
     /// Fields that are meant for all recipients of an answer, also where its Connection field names them.
     virtual FieldNames end_to_end_fields() const { return {}; }
+    /// Fields that decide how an attempt ended. An answer that has one of them twice proves nothing.
+    virtual FieldNames fields_that_stand_once() const { return {}; }
     /// Whether the heads of answers are forwarded.
     virtual bool forwards_heads() const { return false; }
     /// Whether an answer without a stated length may end with the connection.
--- a/src/proxy/hop_header.h
+++ b/src/proxy/hop_header.h
@@ -2,6 +2,7 @@
 // mesh's own; what clients and endpoints see is fixed by the platform. Pure.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -9,6 +10,7 @@
 #include <string_view>
 
 #include "mesh_config/mesh_config.h"
+#include "proxy/http_fields.h"
 
 namespace martenford::proxy {
 
@@ -22,6 +24,10 @@
 inline constexpr char kHopDeliveredField[] = "Mesh-Failed";
 /// Response, beside a rejection: the newer configuration version by which the request is planned otherwise.
 inline constexpr char kHopConfigVersionField[] = "Mesh-Version";
+/// Fields of another proxy's answer that say which request it answers, and how that ended.
+inline constexpr std::array<std::string_view, 6> kHopVerdictFields{
+    kAttemptId,          kServerSeal,        kHopRejectedField,
+    kHopTurnedAwayField, kHopDeliveredField, kHopConfigVersionField};
 
 /// What the caller's proxy asks of the endpoint's proxy.
 enum class HopMode : std::uint8_t {
--- a/src/proxy/http_fields.h
+++ b/src/proxy/http_fields.h
@@ -27,6 +27,10 @@
 inline constexpr std::array<std::string_view, 4> kClientFields{"Host", kAttemptId, kTimeRemaining, kApiKey};
 inline constexpr std::array<std::string_view, 2> kEndpointFields{kAttemptId, kServerSeal};
 
+/// Fields of an endpoint's answer that say which request it answers, and how that ended.
+inline constexpr std::array<std::string_view, 4> kEndpointVerdictFields{kAttemptId, kNotExecuted, kServerSeal,
+                                                                        kInstanceId};
+
 /// Bytes of an Attempt-Id; a longer one is a bad request.
 inline constexpr std::size_t kMaxAttemptIdBytes = 128;
 /// Answers that a listener holds during a shutdown: a twentieth of the memory of the smallest machines.
--- a/src/proxy/inbound_protocol.h
+++ b/src/proxy/inbound_protocol.h
@@ -76,6 +76,7 @@
                                                            const HttpMessage* message,
                                                            EndpointId from) override;
     [[nodiscard]] FieldNames end_to_end_fields() const override { return kEndpointFields; }
+    [[nodiscard]] FieldNames fields_that_stand_once() const override { return kEndpointVerdictFields; }
     [[nodiscard]] bool forwards_heads() const override { return true; }
     [[nodiscard]] bool allows_close_delimited() const override { return false; }
     /// Nothing bounds an answer but its request's deadline: it passes through, and little of it is held.
--- a/src/proxy/outbound_protocol.h
+++ b/src/proxy/outbound_protocol.h
@@ -16,6 +16,7 @@
 #include "http1/protocol.h"
 #include "mesh_config/mesh_config.h"
 #include "outbound/outbound_policy.h"
+#include "proxy/hop_header.h"
 #include "proxy/http_fields.h"
 #include "quota/quota.h"
 
@@ -111,6 +112,7 @@
                                                            const HttpMessage* message,
                                                            EndpointId from) override;
     [[nodiscard]] FieldNames end_to_end_fields() const override { return kEndpointFields; }
+    [[nodiscard]] FieldNames fields_that_stand_once() const override { return kHopVerdictFields; }
     [[nodiscard]] bool forwards_heads() const override { return true; }
     [[nodiscard]] bool allows_close_delimited() const override { return false; }
     /// Nothing bounds an answer but its request's deadline: it passes through, and little of it is held.
--- a/tests/mesh/late_answer_test.cpp
+++ b/tests/mesh/late_answer_test.cpp
@@ -125,6 +125,36 @@
     }
 }
 
+// Guards against a request that runs twice, or an answer with another's status: the beginning of a surplus
+// answer, cut at any byte, joins with the head of the next answer on the connection.
+TEST_CASE("the beginning of a surplus answer, cut at any byte, decides nothing of the next request") {
+    const std::string date = "Date: Fri, 04 Dec 2026 10:00:00 GMT\r\n";
+    const std::string end = "Attempt-Id: a\r\nContent-Length: 0\r\n\r\n";
+    const std::string rejected = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n" + date + end;
+    const std::string misdirected = "HTTP/1.1 421 Misdirected Request\r\n" + date + end;
+    const std::string served = "HTTP/1.1 200 OK\r\nServer-Seal: a\r\n" + date + end;
+    const std::string failure = response_text("500 Failed", "b", "Server-Seal: b\r\n", "");
+    for (const std::string& surplus : {rejected, misdirected, served}) {
+        const bool next_fails = surplus == served;
+        for (std::size_t cut = 1; cut < surplus.size(); ++cut) {
+            CAPTURE(surplus.substr(0, cut));
+            World world(1, 1);
+            Endpoint& endpoint = world.inbound_proxies[0]->endpoint;
+            endpoint.script = [&](const std::string& id, int) {
+                Endpoint::Script script;
+                script.response = id == "a" ? success(id, id) : next_fails ? failure : success(id, id);
+                if (id == "b") script.response.insert(0, surplus, 0, cut);
+                return script;
+            };
+            REQUIRE(world.send_once(World::request_text("a", true)));
+            const auto response = world.send_once(World::request_text("b", false));
+            REQUIRE(response);
+            CHECK(world.history.executions["b"] == 1);
+            if (response->status == 200) CHECK((!next_fails && response->seal == "b"));
+        }
+    }
+}
+
 TEST_CASE("late answers to earlier requests leave a connection usable for others") {
     World world(1, 1);
     Endpoint& endpoint = world.inbound_proxies[0]->endpoint;
