--- a/tests/mesh/disk_model_test.cpp
+++ b/tests/mesh/disk_model_test.cpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdint>
 #include <cstdlib>
 #include <filesystem>
@@ -157,6 +158,14 @@
 
 DiskModel disk;
 
+/// The file system refuses to make directories and cannot sync them.
+bool limits_directories = false;
+
+bool is_directory(int descriptor) {
+    struct stat status {};
+    return ::fstat(descriptor, &status) == 0 && S_ISDIR(status.st_mode);
+}
+
 template <class Function>
 Function* original(const char* name) {
     return reinterpret_cast<Function*>(::dlsym(RTLD_NEXT, name));
@@ -190,6 +199,10 @@
     return result;
 }
 extern "C" int fsync(int fd) {
+    if (limits_directories && is_directory(fd)) {
+        errno = EINVAL;
+        return -1;
+    }
     if (disk.watches(fd)) disk.operation();
     const int result = original<int(int)>("fsync")(fd);
     if (disk.watches(fd)) disk.synced(fd);
@@ -199,6 +212,13 @@
     if (disk.watches(from)) disk.operation();
     return original<int(const char*, const char*)>("rename")(from, to);
 }
+extern "C" int mkdir(const char* path, mode_t mode) noexcept {
+    if (limits_directories) {
+        errno = EROFS;
+        return -1;
+    }
+    return original<int(const char*, mode_t)>("mkdir")(path, mode);
+}
 extern "C" int unlink(const char* path) noexcept {
     if (disk.watches(path)) disk.operation();
     return original<int(const char*)>("unlink")(path);
@@ -333,3 +353,17 @@
     CHECK(losses > 10 * kSeedsOfEachMoment);
     CHECK(damaged < losses / 10);
 }
+
+// Guards against a controller that never starts: it tries for good to make a directory that is there, or to
+// sync one that its file system cannot sync.
+TEST_CASE("disk model: a first start needs neither to make its directory nor to sync it") {
+    constexpr unsigned kMaxSeconds = 5;
+    const DataDirectory directory;
+    const auto ended = with_loss_of_power(directory.path(), -1, 1, [&] {
+        ::alarm(kMaxSeconds);
+        limits_directories = true;
+        open(directory.path(), true);
+    });
+    CHECK(ended == kCompleted);
+    CHECK_FALSE(open(directory.path(), false).state.last_entry.voters.empty());
+}
