--- a/tests/mesh/disk_model_test.cpp
+++ b/tests/mesh/disk_model_test.cpp
@@ -28,9 +28,11 @@
 #include <vector>
 
 #include "controller/register_storage.h"
+#include "mesh/rig/temporary_directory.h"
 
 using namespace martenford;
 using namespace martenford::controller;
+using rig::TemporaryDirectory;
 
 namespace {
 
@@ -230,21 +232,6 @@
 constexpr int kSaves = 6;
 constexpr int kSeedsOfEachMoment = 8;
 
-class DataDirectory {
-  public:
-    DataDirectory() {
-        std::string path = (std::filesystem::temp_directory_path() / "disk-model-XXXXXX").string();
-        path_ = ::mkdtemp(path.data());
-    }
-    ~DataDirectory() { std::filesystem::remove_all(path_); }
-    DataDirectory(const DataDirectory&) = delete;
-    DataDirectory& operator=(const DataDirectory&) = delete;
-    [[nodiscard]] const std::string& path() const { return path_; }
-
-  private:
-    std::string path_;
-};
-
 OpenedRegister open(const std::string& directory, bool first_boot) {
     auto opened = open_register(directory, {kSeeds[0], kSeeds, first_boot});
     REQUIRE(std::holds_alternative<OpenedRegister>(opened));
@@ -267,6 +254,23 @@
     return WEXITSTATUS(status);
 }
 
+/// Calls `play(operation, seed)` for each operation until it returns that nothing was left to lose, with
+/// several draws of what the disk keeps. Returns the number of plays.
+std::size_t at_each_moment(const std::function<bool(int operation, std::uint64_t seed)>& play) {
+    std::size_t plays = 0;
+    for (std::uint64_t seed = 1; seed <= kSeedsOfEachMoment; ++seed) {
+        bool completed = false;
+        for (int operation = 0; !completed; ++operation) {
+            CAPTURE(operation);
+            CAPTURE(seed);
+            completed = play(operation, seed);
+            ++plays;
+        }
+    }
+    CHECK(plays > 10 * kSeedsOfEachMoment);
+    return plays;
+}
+
 /// The state of save number `i`: its term tells it.
 raft::PersistentState state_of_save(raft::PersistentState state, int i) {
     state.term = static_cast<raft::Term>(10 + i);
@@ -281,76 +285,60 @@
 // Guards against a first voter that is lost, or comes back with its vote forgotten, after a loss of power in
 // the first start and in the start after it.
 TEST_CASE("disk model: a loss of power in the first start leaves the first voter, or an empty disk") {
-    const raft::MemberId first_voter = open(DataDirectory().path(), true).state.self_id;
-    std::size_t losses = 0;
+    const raft::MemberId first_voter = open(TemporaryDirectory().path, true).state.self_id;
     std::size_t first_voters = 0;
-    for (std::uint64_t seed = 1; seed <= kSeedsOfEachMoment; ++seed) {
-        bool completed = false;
-        for (int operation = 0; !completed; ++operation) {
-            CAPTURE(operation);
-            CAPTURE(seed);
-            const DataDirectory directory;
-            const auto first =
-                with_loss_of_power(directory.path(), operation, seed, [&] { open(directory.path(), true); });
-            REQUIRE(first);
-            completed = first == kCompleted;
-            const int next_operation = static_cast<int>((seed * 7 + static_cast<unsigned>(operation)) % 30);
-            REQUIRE(with_loss_of_power(directory.path(), next_operation, seed + 100,
-                                       [&] { open(directory.path(), false); }));
-            const OpenedRegister opened = open(directory.path(), false);
-            const bool is_first_voter = opened.state.self_id == first_voter;
-            CHECK((is_first_voter || (!completed && opened.state.last_entry.voters.empty())));
-            CHECK(opened.storage.began_empty());
-            ++losses;
-            first_voters += is_first_voter ? 1 : 0;
-        }
-    }
+    const std::size_t losses = at_each_moment([&](int operation, std::uint64_t seed) {
+        const TemporaryDirectory directory;
+        const auto first =
+            with_loss_of_power(directory.path, operation, seed, [&] { open(directory.path, true); });
+        REQUIRE(first);
+        const bool completed = first == kCompleted;
+        const int next_operation = static_cast<int>((seed * 7 + static_cast<unsigned>(operation)) % 30);
+        REQUIRE(with_loss_of_power(directory.path, next_operation, seed + 100,
+                                   [&] { open(directory.path, false); }));
+        const OpenedRegister opened = open(directory.path, false);
+        const bool is_first_voter = opened.state.self_id == first_voter;
+        CHECK((is_first_voter || (!completed && opened.state.last_entry.voters.empty())));
+        CHECK(opened.storage.began_empty());
+        first_voters += is_first_voter ? 1 : 0;
+        return completed;
+    });
     MESSAGE(losses, " losses, ", first_voters, " returned as the first voter");
-    CHECK(losses > 10 * kSeedsOfEachMoment);
     CHECK(first_voters > losses / 2);
 }
 
 // Guards against an older state after a save that has returned, and against a process that ends at a torn
 // file.
 TEST_CASE("disk model: after a loss of power in a save the last state that was saved is there") {
-    std::size_t losses = 0;
     std::size_t damaged = 0;
-    for (std::uint64_t seed = 1; seed <= kSeedsOfEachMoment; ++seed) {
-        bool completed = false;
-        for (int operation = 0; !completed; ++operation) {
-            CAPTURE(operation);
-            CAPTURE(seed);
-            const DataDirectory directory;
-            const raft::PersistentState initial = open(directory.path(), true).state;
-            const auto saved = with_loss_of_power(directory.path(), operation, seed, [&] {
-                OpenedRegister opened = open(directory.path(), false);
-                for (int i = 0; i < kSaves; ++i) {
-                    if (opened.storage.save(state_of_save(initial, i))) ::_exit(kCompleted + 1);
-                    disk.count_save();
-                }
-            });
-            REQUIRE(saved);
-            REQUIRE(*saved <= kCompleted);
-            completed = saved == kCompleted;
-            const int saves = completed ? kSaves : *saved;
-            const OpenedRegister opened = open(directory.path(), true);
-            ++losses;
-            if (opened.state.self_id != initial.self_id) {
-                // A meta page that is torn within its sector: without a vote, rather than with an older one.
-                CHECK(opened.state.last_entry.voters.empty());
-                CHECK_FALSE(opened.storage.began_empty());
-                ++damaged;
-                continue;
+    const std::size_t losses = at_each_moment([&](int operation, std::uint64_t seed) {
+        const TemporaryDirectory directory;
+        const raft::PersistentState initial = open(directory.path, true).state;
+        const auto saved = with_loss_of_power(directory.path, operation, seed, [&] {
+            OpenedRegister opened = open(directory.path, false);
+            for (int i = 0; i < kSaves; ++i) {
+                if (opened.storage.save(state_of_save(initial, i))) ::_exit(kCompleted + 1);
+                disk.count_save();
             }
-            const auto term_of = [](int count) {
-                return count == 0 ? 0U : static_cast<raft::Term>(9 + count);
-            };
-            const raft::Term term = opened.state.term;
-            CHECK((term == term_of(saves) || (!completed && term == term_of(saves + 1))));
+        });
+        REQUIRE(saved);
+        REQUIRE(*saved <= kCompleted);
+        const bool completed = saved == kCompleted;
+        const int saves = completed ? kSaves : *saved;
+        const OpenedRegister opened = open(directory.path, true);
+        if (opened.state.self_id != initial.self_id) {
+            // A meta page that is torn within its sector: without a vote, rather than with an older one.
+            CHECK(opened.state.last_entry.voters.empty());
+            CHECK_FALSE(opened.storage.began_empty());
+            ++damaged;
+            return completed;
         }
-    }
+        const auto term_of = [](int count) { return count == 0 ? 0U : static_cast<raft::Term>(9 + count); };
+        const raft::Term term = opened.state.term;
+        CHECK((term == term_of(saves) || (!completed && term == term_of(saves + 1))));
+        return completed;
+    });
     MESSAGE(losses, " losses, ", damaged, " stores set aside");
-    CHECK(losses > 10 * kSeedsOfEachMoment);
     CHECK(damaged < losses / 10);
 }
 
@@ -358,12 +346,12 @@
 // sync one that its file system cannot sync.
 TEST_CASE("disk model: a first start needs neither to make its directory nor to sync it") {
     constexpr unsigned kMaxSeconds = 5;
-    const DataDirectory directory;
-    const auto ended = with_loss_of_power(directory.path(), -1, 1, [&] {
+    const TemporaryDirectory directory;
+    const auto ended = with_loss_of_power(directory.path, -1, 1, [&] {
         ::alarm(kMaxSeconds);
         limits_directories = true;
-        open(directory.path(), true);
+        open(directory.path, true);
     });
     CHECK(ended == kCompleted);
-    CHECK_FALSE(open(directory.path(), false).state.last_entry.voters.empty());
+    CHECK_FALSE(open(directory.path, false).state.last_entry.voters.empty());
 }
--- a/tests/mesh/first_boot_test.cpp
+++ b/tests/mesh/first_boot_test.cpp
@@ -10,6 +10,7 @@
 
 #include "controller/first_boot_record.h"
 #include "controller/register_storage.h"
+#include "mesh/rig/temporary_directory.h"
 
 using namespace martenford;
 using namespace martenford::controller;
@@ -21,33 +22,25 @@
 
 class DataDirectory {
   public:
-    DataDirectory() {
-        std::string path = (std::filesystem::temp_directory_path() / "first-boot-XXXXXX").string();
-        path_ = ::mkdtemp(path.data());
-    }
-    ~DataDirectory() { std::filesystem::remove_all(path_); }
-    DataDirectory(const DataDirectory&) = delete;
-    DataDirectory& operator=(const DataDirectory&) = delete;
-
-    [[nodiscard]] const std::string& path() const { return path_; }
+    [[nodiscard]] const std::string& path() const { return directory_.path; }
     /// A start of the first seed's controller.
     [[nodiscard]] raft::PersistentState open(const std::vector<std::string>& seeds, bool first_boot) const {
         return open_all(seeds, first_boot).state;
     }
     [[nodiscard]] OpenedRegister open_all(const std::vector<std::string>& seeds, bool first_boot) const {
-        auto opened = open_register(path_, {kSeeds[0], seeds, first_boot});
+        auto opened = open_register(path(), {kSeeds[0], seeds, first_boot});
         REQUIRE(std::holds_alternative<OpenedRegister>(opened));
         return std::get<OpenedRegister>(std::move(opened));
     }
     void write(const std::string& name, const std::string& content) const {
-        std::ofstream(path_ + "/" + name, std::ios::binary) << content;
+        std::ofstream(path() + "/" + name, std::ios::binary) << content;
     }
     [[nodiscard]] bool has(const std::string& name) const {
-        return std::filesystem::exists(path_ + "/" + name);
+        return std::filesystem::exists(path() + "/" + name);
     }
 
   private:
-    std::string path_;
+    rig::TemporaryDirectory directory_;
 };
 
 void write_record(const DataDirectory& directory) {
--- a/tests/mesh/late_answer_test.cpp
+++ b/tests/mesh/late_answer_test.cpp
@@ -2,10 +2,13 @@
 // recognized for what it is, wherever the Attempt-Id alone does not tell (docs/incidents/mixed.md).
 #include <doctest/doctest.h>
 
+#include <array>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "hop_world.h"
+#include "http1/answer_head.h"
 #include "http1/exchange_record.h"
 
 using namespace martenford;
@@ -155,6 +158,23 @@
     }
 }
 
+TEST_CASE("a head that has a deciding field, or its length, twice is not that of one answer") {
+    constexpr std::array<std::string_view, 2> kOnce{"Attempt-Id", "Not-Executed"};
+    for (const std::string name : {"Attempt-Id", "Not-Executed", "Content-Length", "Server"}) {
+        CAPTURE(name);
+        http::response_header<> head;
+        head.insert(name, "1");
+        CHECK(is_one_answer(head, kOnce));
+        head.insert(name, "1");
+        CHECK(is_one_answer(head, kOnce) == (name == "Server"));
+    }
+    http::response_header<> head;
+    head.insert("Via", "HTTP/1.1 proxy, 1.1 HTTP/1.10 200");
+    CHECK(is_one_answer(head, kOnce));
+    head.insert("Date", "FriHTTP/1.1 200 OK");
+    CHECK_FALSE(is_one_answer(head, kOnce));
+}
+
 TEST_CASE("late answers to earlier requests leave a connection usable for others") {
     World world(1, 1);
     Endpoint& endpoint = world.inbound_proxies[0]->endpoint;
--- a/tests/mesh/power_test.cpp
+++ b/tests/mesh/power_test.cpp
@@ -18,8 +18,10 @@
 #include <vector>
 
 #include "durable_store/durable_store.h"
+#include "mesh/rig/temporary_directory.h"
 
 using namespace martenford;
+using rig::TemporaryDirectory;
 
 namespace {
 
@@ -87,17 +89,6 @@
 
 namespace {
 
-/// A temporary directory that is removed with the object.
-struct TemporaryDirectory {
-    TemporaryDirectory() {
-        char name[] = "/tmp/mesh-power-XXXXXX";
-        path = ::mkdtemp(name);
-    }
-    ~TemporaryDirectory() { std::filesystem::remove_all(path); }
-    std::string database_file() const { return path + "/word.mdb"; }
-    std::string path;
-};
-
 std::unique_ptr<durable_store::DurableStore> open(const TemporaryDirectory& directory) {
     auto opened = durable_store::DurableStore::open(directory.path, 1 << 20);
     REQUIRE(std::holds_alternative<std::unique_ptr<durable_store::DurableStore>>(opened));
--- a/tests/mesh/raft_first_start_test.cpp
+++ b/tests/mesh/raft_first_start_test.cpp
@@ -127,6 +127,17 @@
         CHECK(system.voters_of(machine) == std::set<MemberId>{1, 102, 103});
 }
 
+TEST_CASE("first start: a place is taken only after the statement has held for a while") {
+    FirstStart system;
+    system.start_first_voter(1);
+    system.start_new_member(2, MemberHistory::None);
+    system.start_new_member(3, MemberHistory::None);
+    system.run_for(RaftOptions{}.first_start_repair_delay - 100ms);
+    CHECK(system.voters_of(1) == std::set<MemberId>{1, 2, 3});
+    system.run_for(200ms);
+    CHECK(system.voters_of(1) == std::set<MemberId>{1, 102, 103});
+}
+
 TEST_CASE("first start: a member that does not state that its disk was empty takes no place") {
     FirstStart system;
     system.start_first_voter(1);
--- a/tests/mesh/store_test.cpp
+++ b/tests/mesh/store_test.cpp
@@ -11,24 +11,15 @@
 
 #include "bootstrap/settings.h"
 #include "durable_store/durable_store.h"
+#include "mesh/rig/temporary_directory.h"
 #include "mesh_config/mesh_config.h"
 #include "rpc/messages.h"
 
 using namespace martenford;
+using rig::TemporaryDirectory;
 
 namespace {
 
-/// A temporary directory that is removed with the object.
-struct TemporaryDirectory {
-    TemporaryDirectory() {
-        char name[] = "/tmp/mesh-test-XXXXXX";
-        path = ::mkdtemp(name);
-    }
-    ~TemporaryDirectory() { std::filesystem::remove_all(path); }
-    std::string database_file() const { return path + "/word.mdb"; }
-    std::string path;
-};
-
 constexpr std::size_t kPageBytes = 4096;  // LMDB's, which takes the system's
 
 std::unique_ptr<durable_store::DurableStore> open(const std::string& directory,
