Byte budget: one type counts held answers and arriving bodies

Refactoring: HoldLimit and the listener's count of arriving bodies become ByteBudget and ByteReservation, which gives back at its destruction what a connection has.

--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -211,14 +211,12 @@
 }
 
 bool ClientConnection::set_arriving_body(std::size_t bytes) {
-    listener_.resize_arriving_body(std::exchange(arriving_body_bytes_, bytes), bytes);
-    return listener_.has_room_for_arriving_bodies();
+    return arriving_body_.resize(bytes);
 }
 
 void ClientConnection::drop_arriving_body() {
-    if (arriving_body_bytes_ == 0) return;
     parser_->get().body() = {};
-    listener_.resize_arriving_body(std::exchange(arriving_body_bytes_, 0), 0);
+    arriving_body_.release();
 }
 
 void ClientConnection::expect_body() {
@@ -270,7 +268,7 @@
 void ClientConnection::handle_request(bool arriving) {
     timer_.cancel();
     // From here on the body is the request's: it is answered, or given up, in the time of a request.
-    listener_.resize_arriving_body(std::exchange(arriving_body_bytes_, 0), 0);
+    arriving_body_.release();
     had_request_ = true;
     record_.add_request(buffer_.size());
     move_to(listener_.active_);
@@ -373,7 +371,7 @@
 }
 
 void ClientConnection::hold(Answer&& answer) {
-    held_answer_ = std::make_unique<HeldAnswer>(std::move(answer), *listener_.hold_limit_);
+    held_answer_ = std::make_unique<HeldAnswer>(std::move(answer), *listener_.held_answers_);
     held_answer_->start([this](HeldAnswer::End end) {
         const auto self = shared_from_this();
         const auto held = std::exchange(held_answer_, nullptr);
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/byte_budget.h"
 #include "core/loop.h"
 #include "core/pipe.h"
 #include "core/request_counters.h"
@@ -32,6 +33,7 @@
           socket_(std::move(socket)),
           timer_(listener.loop_),
           record_(++listener.last_connection_),
+          arriving_body_(listener.arriving_bodies_),
           buffer_(kMaxBufferBytes),
           incoming_(kMaxBufferBytes) {}
     void start(HttpListener::Clients::iterator place);
@@ -137,6 +139,7 @@
     asio::ip::tcp::socket socket_;
     Timer timer_;
     ConnectionRecord record_;
+    ByteReservation arriving_body_;     // of the parser's body, while it is being buffered
     boost::beast::flat_buffer buffer_;  // read, but not parsed yet
     /// The target of the pending read. A read into buffer_ itself would go wrong: parsing moves its contents,
     /// and the bytes read would be taken from where earlier ones lie.
@@ -155,8 +158,7 @@
     unsigned http_version_ = 11;  // HTTP version of the client's request
     // A streamed body of a request.
     std::shared_ptr<Pipe> upload_;
-    std::uint64_t received_ = 0;           // bytes of the body
-    std::size_t arriving_body_bytes_ = 0;  // of the parser's body, as the listener has accounted for them
+    std::uint64_t received_ = 0;  // bytes of the body
     Time header_time_{};
     Duration paused_time_{};  // time in which the body was not read, because the endpoint took none of it
     std::optional<Time> paused_since_;
--- a/src/http1/held_answer.cpp
+++ b/src/http1/held_answer.cpp
@@ -5,14 +5,7 @@
 
 namespace martenford {
 
-bool HoldLimit::add(std::size_t bytes) {
-    if (bytes > max_bytes_ - held_bytes_) return false;
-    held_bytes_ += bytes;
-    return true;
-}
-
 HeldAnswer::~HeldAnswer() {
-    limit_.remove(counted_bytes_);
     if (answer_.rest) answer_.rest->stop_reading();
 }
 
@@ -20,8 +13,7 @@
     ended_ = std::move(ended);
     // An answer whose stated length does not fit is not buffered at all.
     const std::size_t bytes = answer_.length.value_or(answer_.body.size());
-    if (!limit_.add(bytes)) return end(End::LimitReached);
-    counted_bytes_ = bytes;
+    if (!reservation_.resize(bytes)) return end(End::LimitReached);
     read();
 }
 
@@ -41,9 +33,7 @@
     const std::size_t bytes = piece.size();
     answer_.body.append(piece);
     if (answer_.length) return true;  // its whole length was added at the start
-    if (!limit_.add(bytes)) return false;
-    counted_bytes_ += bytes;
-    return true;
+    return reservation_.resize(reservation_.bytes() + bytes);
 }
 
 void HeldAnswer::end(End how) {
--- a/src/http1/held_answer.h
+++ b/src/http1/held_answer.h
@@ -6,24 +6,11 @@
 #include <cstddef>
 #include <functional>
 
+#include "core/byte_budget.h"
 #include "core/engine.h"
 
 namespace martenford {
 
-/// Limits the bytes in all held answers of one listener.
-class HoldLimit {
-  public:
-    explicit HoldLimit(std::size_t max_bytes) : max_bytes_(max_bytes) {}
-    /// Returns false, and adds nothing, if that would exceed the limit.
-    [[nodiscard]] bool add(std::size_t bytes);
-    void remove(std::size_t bytes) { held_bytes_ -= bytes; }
-    [[nodiscard]] std::size_t held_bytes() const { return held_bytes_; }
-
-  private:
-    const std::size_t max_bytes_;
-    std::size_t held_bytes_ = 0;
-};
-
 class HeldAnswer {
   public:
     enum class End {
@@ -35,8 +22,8 @@
     using Callback = std::function<void(End)>;
 
     /// @param answer must have a `rest`
-    /// @param limit outlives it
-    HeldAnswer(Answer&& answer, HoldLimit& limit) : answer_(std::move(answer)), limit_(limit) {}
+    /// @param budget of all held answers of one listener; outlives it
+    HeldAnswer(Answer&& answer, ByteBudget& budget) : answer_(std::move(answer)), reservation_(budget) {}
     /// The writer of the rest is told that nobody reads it, unless take() was called.
     ~HeldAnswer();
     HeldAnswer(const HeldAnswer&) = delete;
@@ -53,8 +40,7 @@
     void end(End how);
 
     Answer answer_;
-    HoldLimit& limit_;
-    std::size_t counted_bytes_ = 0;  // bytes added to the limit
+    ByteReservation reservation_;
     Callback ended_;
 };
 
--- a/src/http1/listener.cpp
+++ b/src/http1/listener.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/socket_base.hpp>
+#include <limits>
 
 #include "http1/client_connection.h"
 #include "http1/held_answer.h"
@@ -36,6 +37,7 @@
       max_connections_(max_connections),
       ready_(std::move(ready)),
       acceptor_(loop.io()),
+      arriving_bodies_(std::numeric_limits<std::size_t>::max()),
       accept_retry_timer_(loop),
       drain_timer_(loop),
       evacuation_timer_(loop),
@@ -64,6 +66,7 @@
 void HttpListener::accept_on(asio::ip::tcp protocol, int descriptor) {
     acceptor_.assign(protocol, descriptor);
     acceptor_.non_blocking(true);
+    arriving_bodies_.set_max_bytes(protocol_.limits().max_arriving_body_bytes);
     accept();
 }
 
@@ -147,7 +150,7 @@
     const DrainTimes times = protocol_.drain_times();
     answer_deadline_ = EventLoop::monotonic() + times.answer_deadline;
     if (times.max_held_bytes > 0) {
-        hold_limit_ = std::make_unique<HoldLimit>(times.max_held_bytes);
+        held_answers_ = std::make_unique<ByteBudget>(times.max_held_bytes);
         give_up_timer_.set(answer_deadline_ + kGiveUpDelay, [this] { give_up(); });
     }
     if (replaced_)
@@ -161,16 +164,6 @@
     }
 }
 
-void HttpListener::resize_arriving_body(std::size_t from_bytes, std::size_t to_bytes) {
-    arriving_body_bytes_ += to_bytes;
-    arriving_body_bytes_ -= from_bytes;
-}
-
-bool HttpListener::has_room_for_arriving_bodies() const {
-    const std::size_t limit = protocol_.limits().max_arriving_body_bytes;
-    return limit == 0 || arriving_body_bytes_ <= limit;
-}
-
 void HttpListener::stop_accepting() {
     // Connections that the kernel has accepted were taken over first: the event loop has run all ready
     // handlers. The descriptor is released from Asio before it is closed: if another process holds the socket
--- a/src/http1/listener.h
+++ b/src/http1/listener.h
@@ -11,6 +11,7 @@
 #include <optional>
 
 #include "core/address.h"
+#include "core/byte_budget.h"
 #include "core/counters.h"
 #include "core/engine.h"
 #include "core/listening_socket.h"
@@ -19,7 +20,6 @@
 namespace martenford {
 
 class ClientConnection;
-class HoldLimit;
 class ServerProtocol;
 
 /// What a listener still owes its clients.
@@ -87,7 +87,7 @@
     bool refuses_requests() const;
     void close_idle();
     /// Whether answers that may not be complete before the drain ends are held until they are.
-    bool holds_answers() const { return hold_limit_ != nullptr; }
+    bool holds_answers() const { return held_answers_ != nullptr; }
     /// Fails all requests that have no answer yet: the drain is over.
     void give_up();
 
@@ -102,10 +102,6 @@
     void stop_serving();
     void finish_drain();
     std::size_t open_connections() const { return idle_.size() + partial_.size() + active_.size(); }
-    /// Accounts for a body that is being buffered.
-    void resize_arriving_body(std::size_t from_bytes, std::size_t to_bytes);
-    /// Whether the bodies that are being buffered are within ListenerLimits::max_arriving_body_bytes.
-    [[nodiscard]] bool has_room_for_arriving_bodies() const;
     bool full() const { return open_connections() >= max_connections_; }
     bool empty() const { return open_connections() == 0; }
 
@@ -120,15 +116,15 @@
     Clients partial_;  // a request has begun to arrive; ordered by the last read
     Clients active_;   // a request is being handled; never evicted
     bool accepting_ = false;
-    std::size_t arriving_body_bytes_ = 0;  // of bodies that are being buffered, on all connections
+    ByteBudget arriving_bodies_;  // that are being buffered, on all connections
     Timer accept_retry_timer_, drain_timer_, evacuation_timer_, give_up_timer_;
     std::optional<Time> evacuated_since_;  // start of the evacuation
     bool replaced_ = false;
     Counter &evicted_, &withheld_, &early_;
     std::uint64_t last_connection_ = 0;  // number of the connection accepted last
     std::function<void()> on_drained_;
-    Time answer_deadline_{};                 // while draining: when all accepted requests must be answered
-    std::unique_ptr<HoldLimit> hold_limit_;  // null: answers are passed on as they arrive
+    Time answer_deadline_{};                    // while draining: when all accepted requests must be answered
+    std::unique_ptr<ByteBudget> held_answers_;  // null: answers are passed on as they arrive
     bool stopped_serving_ = false, drain_finished_ = false;
 };
 
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/status.hpp>
+#include <limits>
 #include <optional>
 #include <span>
 #include <string>
@@ -42,8 +43,8 @@
     /// A body up to this size is buffered whole; longer ones are streamed.
     std::size_t max_buffered_body_bytes = kMaxBufferedBodyBytes;
     /// What bodies that are being buffered may take on all connections together; a request whose body goes
-    /// beyond it is answered with 503. 0: no limit of its own.
-    std::size_t max_arriving_body_bytes = 0;
+    /// beyond it is answered with 503. Default: no limit of its own.
+    std::size_t max_arriving_body_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// The phases of a shutdown, counted from SIGTERM.
--- a/tests/mesh/front_test.cpp
+++ b/tests/mesh/front_test.cpp
@@ -219,7 +219,7 @@
 }
 
 TEST_CASE("held answer: a writer that goes on while it is read loses nothing") {
-    HoldLimit limit(1000);
+    ByteBudget limit(1000);
     Answer answer{Answer::Kind::Served, "a", "", {}};
     const auto rest = answer.rest = std::make_shared<Pipe>(1);
     std::string still_to_come = "cde";
