Memory: what is refused or passed on is freed, which '= {}' does not do

Cause: text = {} and text = std::string() keep a string's memory (checked: capacity 1,000,000 after both). Bodies that were refused, first parts of streamed bodies and pipes that nobody reads held theirs until their connection ended.

Change: release_memory().

--- a/src/core/pipe.h
+++ b/src/core/pipe.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <utility>
 
+#include "core/release_memory.h"
+
 namespace martenford {
 
 /// One writer, one reader, one thread. Each side is notified synchronously of what the other does; a
@@ -52,7 +54,7 @@
     }
     void stop_reading() {
         if (std::exchange(reader_closed_, true)) return;
-        buffered_ = {};
+        release_memory(buffered_);
         on_readable_ = nullptr;
         notify(std::exchange(on_writable_, nullptr));
     }
--- a/src/grpc/h2_client.cpp
+++ b/src/grpc/h2_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/release_memory.h"
 #include "grpc/h2_session.h"
 
 namespace martenford::grpc {
@@ -179,7 +180,7 @@
 /// No more of it is taken in; it ends when the stream does, which is here.
 void H2Client::fail(std::int32_t id, Stream& stream, Ending::How how) {
     stream.fault = how;
-    stream.answer.body = {};
+    release_memory(stream.answer.body);
     nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
 }
 
@@ -216,7 +217,7 @@
     const auto stream = std::move(it->second);
     streams_.erase(it);
     stream->answer.ending = ending;
-    if (outcome_of(ending) != decision::Status::Ok) stream->answer.body = {};
+    if (outcome_of(ending) != decision::Status::Ok) release_memory(stream->answer.body);
     // Trailers-only: the one head is the trailers (PROTOCOL-HTTP2.md, Responses).
     if (stream->answer.trailers.empty() && stream->status)
         stream->answer.trailers = std::move(stream->answer.head);
--- a/src/grpc/h2_server.cpp
+++ b/src/grpc/h2_server.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/release_memory.h"
 #include "grpc/h2_session.h"
 #include "grpc/status.h"
 
@@ -57,7 +58,7 @@
         if (!stream || stream->too_large) return 0;
         if (stream->request.body.size() + size > server.limits_.body) {
             stream->too_large = true;
-            stream->request.body = {};
+            release_memory(stream->request.body);
             return 0;
         }
         stream->request.body.append(reinterpret_cast<const char*>(bytes), size);
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -11,6 +11,8 @@
 #include <string_view>
 #include <variant>
 
+#include "core/release_memory.h"
+
 namespace martenford {
 
 using namespace martenford::decision;
@@ -215,7 +217,7 @@
 }
 
 void ClientConnection::drop_arriving_body() {
-    parser_->get().body() = {};
+    release_memory(parser_->get().body());
     arriving_body_.release();
 }
 
@@ -443,7 +445,7 @@
             self->answer_rest_.reset();
             self->reply_.reset();
             if (!keeps_open) return self->linger();
-            self->body_ = {};
+            release_memory(self->body_);
             self->await_request();
             self->timer_.set(EventLoop::monotonic() + self->limits().idle_time, [self] { self->close(); });
             self->parse();
--- a/src/http1/endpoint_connection.cpp
+++ b/src/http1/endpoint_connection.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "core/release_memory.h"
 #include "core/transport.h"
 #include "http1/answer_head.h"
 #include "http1/protocol.h"
@@ -50,7 +51,7 @@
     if (message_ && message_->rest) {
         outgoing_->on_rest = [message = message_] {
             message->rest_begun = true;
-            message->body = {};
+            release_memory(message->body);
         };
     }
     done_ = std::move(done);
--- a/tests/mesh/rig/proxy_fleet.cpp
+++ b/tests/mesh/rig/proxy_fleet.cpp
@@ -367,6 +367,13 @@
     return found;
 }
 
+std::vector<pid_t> ProxyFleet::proxy_pids() const {
+    std::vector<pid_t> pids;
+    for (std::size_t i = 0; i < size(); ++i)
+        if (processes_.is_up(name(i))) pids.push_back(processes_.pid(name(i)));
+    return pids;
+}
+
 std::string ProxyFleet::logs() const {
     std::string text = "core\n" + processes_.log(kController);
     for (std::size_t i = 0; i < size(); ++i) text += name(i) + "\n" + processes_.log(name(i));
