HTTP/1.1: framing without end is no answer, and no request

Callers saw: the proxy beside a faulty endpoint ended with SIGABRT (basic_flat_buffer too long), and with it all requests of its machine; after a part of the answer was passed on, neither an end nor a cut, and a proxy that took 1.00 of a core.

Cause: Beast's parser limits a head. The digits and extensions of a chunk's size and trailer fields it only asks more for. Nobody counted them: the buffer threw when it was full, or was read with room for 0 bytes for ever.

Change: feed() fails once more than a head's limit is unparsed, for answers and requests. Not passed on yet: an answer that is none (502); passed on: a cut; a request: 400.

Tests: mesh_endless_bytes, two cases of four forms.

--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -184,7 +184,7 @@
     }
     if (!arriving) move_to(listener_.partial_);  // a client that keeps sending is evicted last
     const bool had_head = parser_->is_header_done();
-    const error_code error = feed(*parser_, buffer_);
+    const error_code error = feed(*parser_, buffer_, limits().max_header_bytes);
     if (arriving && error) return abandon_upload();
     if (error == http::error::body_limit) return send_local_reply(http::status::payload_too_large, false);
     if (error == http::error::header_limit) {
--- a/src/http1/endpoint_connection.cpp
+++ b/src/http1/endpoint_connection.cpp
@@ -178,6 +178,10 @@
     read();
 }
 
+void EndpointConnection::reject_answer() {
+    stage_ == Stage::Streaming ? close() : end_attempt(Status::Error);
+}
+
 void EndpointConnection::handle_early_bytes() {
     const bool may_be_answer = pool_.protocol_.may_run_incomplete_requests();
     // The answer cannot be to a request that has not begun: the bytes belong to an earlier one.
@@ -238,9 +242,7 @@
 
 void EndpointConnection::parse() {
     for (;;) {
-        if (feed(*parser_, buffer_)) {  // it is unknown which request this answers
-            return stage_ == Stage::Streaming ? close() : end_attempt(Status::Error);
-        }
+        if (feed(*parser_, buffer_)) return reject_answer();  // it is unknown which request this answers
         if (stage_ == Stage::Streaming) return forward_piece();
         if (parser_->is_header_done() &&
             !is_one_answer(parser_->get(), pool_.protocol_.fields_that_stand_once()))
--- a/src/http1/endpoint_connection.h
+++ b/src/http1/endpoint_connection.h
@@ -61,6 +61,9 @@
     void read();
     /// Reads on, unless a read is pending or the receiver of the answer is slower.
     void continue_reading();
+    /// What the endpoint sends is no answer: ends the attempt, or shows the caller that its answer is
+    /// truncated.
+    void reject_answer();
 
     /// The endpoint sent bytes before the request was written.
     void handle_early_bytes();
--- a/src/http1/http.h
+++ b/src/http1/http.h
@@ -37,9 +37,9 @@
 constexpr std::size_t kMaxHeaderBytes = 8 * 1024;
 constexpr std::size_t kReadBytes = 4 * 1024;
 constexpr std::size_t kStreamReadBytes = 32 * 1024;  // per read of a streamed body
-// Never filled by a head: kMaxHeaderBytes limits it.
+// The longest head that a listener may be set to take, or what is left of a streamed body's last read, and
+// another read.
 constexpr std::size_t kMaxBufferBytes = kStreamReadBytes + kReadBytes;
-
 /// Limits what the kernel buffers of written data. Guards against megabytes queued for a slow reader, a third
 /// of which must drain before the next write: with the kernel's default size that takes longer than the stall
 /// timeouts allow.
@@ -128,16 +128,21 @@
 }
 
 /// Moves the contents of the buffer into the parser, up to the end of the message. Needing more input is not
-/// an error.
+/// an error, unless the parser could make nothing of more than `max_unparsed_bytes`: it limits a head, but
+/// neither the size and the extensions of a chunk nor trailer fields.
 template <bool isRequest>
-error_code feed(Parser<isRequest>& parser, boost::beast::flat_buffer& buffer) {
+error_code feed(Parser<isRequest>& parser, boost::beast::flat_buffer& buffer,
+                std::size_t max_unparsed_bytes = kMaxHeaderBytes) {
     while (buffer.size() > 0 && !parser.is_done()) {
         // Guards against a body over the limit. If a body starts in the same read in which the header ends,
         // an eager parser of Boost 1.74 ignores that the stated length is over the limit.
         parser.eager(parser.is_header_done());
         error_code error;
         buffer.consume(parser.put(buffer.data(), error));
-        if (error == http::error::need_more) break;
+        if (error == http::error::need_more) {
+            if (buffer.size() > max_unparsed_bytes) return http::error::buffer_overflow;
+            break;
+        }
         if (error) return error;
     }
     return {};
@@ -148,9 +153,10 @@
     return std::to_string(std::chrono::duration<double>(time).count());
 }
 
-/// Size of the next read. It bounds the unparsed bytes of a connection: few, except for a streamed body.
+/// Size of the next read. It bounds the unparsed bytes of a connection: few, except for a streamed body. 0 if
+/// the buffer is full.
 inline std::size_t read_size(const boost::beast::flat_buffer& buffer, bool passing) {
-    return passing ? std::min(kStreamReadBytes, buffer.max_size() - buffer.size()) : kReadBytes;
+    return std::min(passing ? kStreamReadBytes : kReadBytes, buffer.max_size() - buffer.size());
 }
 
 /// Writes a message whose body is complete or comes through a pipe.
--- a/tests/mesh/endless_bytes_test.cpp
+++ b/tests/mesh/endless_bytes_test.cpp
@@ -246,6 +246,42 @@
 
 }  // namespace
 
+// Guards against a process that ends, or keeps what it cannot parse: an answer whose framing has no end.
+TEST_CASE("endless bytes: framing without end in an answer that is not passed on yet is no answer") {
+    EndlessWorld world;
+    for (const Form& form : unparsed_forms("3\r\nabc\r\n")) {
+        CAPTURE(std::string(form.name));
+        world.set_answers(answers_of(form));
+        world.stop_readers();
+        world.start_readers(12, Duration{});
+        world.play(kPlay);
+        world.check();
+        for (const Reader& reader : world.readers()) {
+            CHECK(reader.beginning().starts_with("HTTP/1.1 502"));
+        }
+    }
+}
+
+// Guards against a client that waits for ever, and a proxy that spins, once a part of the answer was passed
+// on.
+TEST_CASE("endless bytes: framing without end in an answer that is being passed on cuts it") {
+    std::string body_before;
+    for (int i = 0; i < 40; ++i) body_before += chunk();
+    EndlessWorld world;
+    for (const Form& form : unparsed_forms(body_before)) {
+        CAPTURE(std::string(form.name));
+        world.set_answers(answers_of(form, 300ms));
+        world.stop_readers();
+        world.start_readers(12, Duration{});
+        world.play(kPlay);
+        world.check();
+        for (const Reader& reader : world.readers()) {
+            CHECK(reader.beginning().starts_with("HTTP/1.1 200"));
+            CHECK(reader.has_ended());
+        }
+    }
+}
+
 // Guards against a controller that keeps the bodies of calls that it has rejected.
 TEST_CASE("endless bytes: a controller holds calls without end within its memory, and answers others") {
     const std::string ip = Processes::ip(1);
