HTTP/1.1: an answer that is not streamed, and all before it, has a bound in bytes

Callers saw: the slot of a request was held, and 1.00 of a core taken, while an endpoint sent an answer to another request without end. A health check's answer without end kept a connection that nobody reads.

Cause: what is skipped, interim answers and framing were counted in messages, not in bytes; a health check's long answer was streamed to nobody.

Change: 1 MiB is read for one answer until it is streamed; a health check's answer is never streamed.

Tests: mesh_endless_bytes 'another request' and 'health check' fail on (more than 8 MiB an attempt; the process ends at its start in five of five forms) and pass now.

--- a/src/http1/endpoint_connection.cpp
+++ b/src/http1/endpoint_connection.cpp
@@ -136,6 +136,7 @@
 void EndpointConnection::write() {
     stage_ = Stage::Writing;
     interim_count_ = 0;
+    unstreamed_bytes_ = 0;
     reset_parser(parser_, kMaxHeaderBytes, pool_.protocol_.max_answer_bytes());
     outgoing_->run(socket_, shared_from_this(), [self = shared_from_this()](const error_code& error) {
         if (self->stage_ != Stage::Writing) return;
@@ -160,6 +161,7 @@
                                 self->reading_ = false;
                                 if (self->stage_ == Stage::Closed) return;
                                 self->buffer_.commit(size);
+                                if (self->stage_ != Stage::Streaming) self->unstreamed_bytes_ += size;
                                 if (error) return self->handle_read_end(error);
                                 if (self->stage_ == Stage::Idle)
                                     return self->close_idle();  // unrequested bytes
@@ -173,6 +175,7 @@
 
 void EndpointConnection::continue_reading() {
     if (stage_ == Stage::Closed || reading_ || read_error_) return;
+    if (unstreamed_bytes_ > kMaxUnstreamedBytes) return reject_answer();
     if (stage_ == Stage::Streaming && !answer_rest_->has_room())
         return stage_timer_.cancel();  // the caller is slower
     read();
@@ -284,6 +287,7 @@
     // The answer to another request is read to its end and skipped.
     if (!status) return parser_->get().body().clear();
     if (*status != Status::Ok) return end_attempt(*status);  // the body of a failure is not used
+    if (!message_) return reject_answer();                   // nobody would read the rest of a health check's
     begin_streaming();
 }
 
@@ -327,6 +331,7 @@
         self->continue_reading();
     });
     stage_ = Stage::Streaming;
+    unstreamed_bytes_ = 0;
     deadline_timer_.cancel();
     stage_timer_.cancel();
     const auto done = std::exchange(done_, nullptr);
@@ -356,6 +361,7 @@
 
 void EndpointConnection::return_to_pool() {
     stage_ = Stage::Idle;
+    unstreamed_bytes_ = 0;
     if (const Duration most = pool_.limits_.connection_idle; most > Duration{}) {
         const Duration keep_for{
             static_cast<Duration::rep>(static_cast<double>(most.count()) * kIdleTimeoutShare)};
--- a/src/http1/endpoint_connection.h
+++ b/src/http1/endpoint_connection.h
@@ -115,6 +115,8 @@
     Timer stage_timer_, deadline_timer_;
     Time deadline_{};  // of the request that was sent last
     boost::beast::flat_buffer buffer_;
+    // Read since the request began to be written, until its answer is streamed.
+    std::size_t unstreamed_bytes_ = 0;
     Stage stage_ = Stage::Connecting;
     // Error of a read while the request was being written, or unexpected_body if bytes came that are kept
     // until it is written. There is no further read until then.
--- a/src/http1/http.h
+++ b/src/http1/http.h
@@ -49,6 +49,9 @@
     error_code ignored;
     socket.set_option(typename Socket::send_buffer_size(kSendBufferBytes), ignored);
 }
+// Read for one answer before it is streamed: the answer, 1xx answers and answers to other requests before it,
+// and the framing of all of them.
+constexpr std::size_t kMaxUnstreamedBytes = 1024 * 1024;
 
 /// A Beast body that holds the pieces that have arrived and were not taken yet. Unlike string_body it
 /// reserves at most kMaxBufferedBodyBytes for a stated length.
--- a/tests/mesh/endless_bytes_test.cpp
+++ b/tests/mesh/endless_bytes_test.cpp
@@ -282,6 +282,42 @@
     }
 }
 
+// Guards against a proxy that ends at each of its starts: it probes the endpoint beside it then.
+TEST_CASE("endless bytes: a health check's answer without end is none") {
+    std::vector<Form> forms = unparsed_forms("3\r\nabc\r\n");
+    forms.push_back({"a body", kChunked, "", repeated(chunk())});
+    EndlessWorld world;
+    world.endpoint(0).fails_health_checks = true;
+    for (const Form& form : forms) {
+        CAPTURE(std::string(form.name));
+        world.set_answers([form](const std::string&) {
+            return EndlessAnswer{
+                "HTTP/1.1 200 OK\r\nInstance-Id: i\r\n" + form.fields + "\r\n" + form.after_head, form.piece};
+        });
+        const std::uint64_t sent_before = world.endpoint(0).bytes_sent();
+        world.fleet().kill(0, 100ms);
+        world.fleet().run_for(1s);
+        CHECK_FALSE(world.fleet().has_unexpected_exit());
+        CHECK(world.endpoint(0).bytes_sent() > sent_before);
+    }
+}
+
+// Guards against a slot that is held, and gigabytes that are read, for an answer that nobody waits for.
+TEST_CASE("endless bytes: an answer without end to another request is given up") {
+    EndlessWorld world;
+    world.set_answers([](const std::string&) {
+        return EndlessAnswer{sound_head("another", kChunked), repeated(chunk())};
+    });
+    world.start_readers(12, Duration{});
+    world.play(kPlay);
+    world.check();
+    std::uint64_t bytes_sent = 0;
+    for (std::size_t i = 0; i < kProxies; ++i) bytes_sent += world.endpoint(i).bytes_sent();
+    constexpr std::uint64_t kAttempts = 2 * 12;
+    constexpr std::uint64_t kMostPerAttempt = 8 * kMegabyte;  // with what the kernel's buffers take
+    CHECK(bytes_sent < kAttempts * kMostPerAttempt);
+}
+
 // Guards against a controller that keeps the bodies of calls that it has rejected.
 TEST_CASE("endless bytes: a controller holds calls without end within its memory, and answers others") {
     const std::string ip = Processes::ip(1);
