Sockets: what the kernel keeps unread for a connection is bounded

Callers saw: memory that no counter of the program shows. What has arrived and is not read counts on the platform.

Cause: no socket set SO_RCVBUF, so the kernel let each grow to megabytes while a client was slower than its endpoint.

--- a/src/http1/endpoint_connection.cpp
+++ b/src/http1/endpoint_connection.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "core/release_memory.h"
+#include "core/socket_buffers.h"
 #include "core/transport.h"
 #include "http1/answer_head.h"
 #include "http1/protocol.h"
@@ -119,6 +120,7 @@
     if (most > Duration{})
         stage_timer_.set(EventLoop::monotonic() + most,
                          [self = shared_from_this()] { self->end_attempt(Status::ConnectFailed); });
+    open_with_limited_buffers(socket_, address);
     socket_.async_connect(address, [self = shared_from_this()](const error_code& error) {
         if (self->stage_ != Stage::Connecting) return;
         self->stage_timer_.cancel();
@@ -127,7 +129,6 @@
                                                                     : Status::ConnectFailed);
         error_code ignored;
         self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-        limit_send_buffer(self->socket_);
         self->read();
         self->write();
     });
--- a/src/http1/http.h
+++ b/src/http1/http.h
@@ -40,15 +40,6 @@
 // The longest head that a listener may be set to take, or what is left of a streamed body's last read, and
 // another read.
 constexpr std::size_t kMaxBufferBytes = kStreamReadBytes + kReadBytes;
-/// Limits what the kernel buffers of written data. Guards against megabytes queued for a slow reader, a third
-/// of which must drain before the next write: with the kernel's default size that takes longer than the stall
-/// timeouts allow.
-constexpr int kSendBufferBytes = 64 * 1024;
-template <class Socket>
-void limit_send_buffer(Socket& socket) {
-    error_code ignored;
-    socket.set_option(typename Socket::send_buffer_size(kSendBufferBytes), ignored);
-}
 // Read for one answer before it is streamed: the answer, 1xx answers and answers to other requests before it,
 // and the framing of all of them.
 constexpr std::size_t kMaxUnstreamedBytes = 1024 * 1024;
--- a/src/http1/listener.cpp
+++ b/src/http1/listener.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/socket_base.hpp>
 #include <limits>
 
+#include "core/socket_buffers.h"
 #include "http1/client_connection.h"
 #include "http1/held_answer.h"
 #include "http1/http.h"
@@ -91,7 +92,7 @@
     if (!error) {
         error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        limit_send_buffer(socket);
+        limit_socket_buffers(socket);
         const auto client = std::make_shared<ClientConnection>(*this, std::move(socket));
         client->start(idle_.insert(idle_.end(), client));
     }
--- a/src/rpc/channel.cpp
+++ b/src/rpc/channel.cpp
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "core/socket_buffers.h"
+
 namespace martenford::rpc {
 
 using boost::system::error_code;
@@ -38,6 +40,7 @@
     peer_ = socket_.remote_endpoint(ignored);
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket_.set_option(TcpUserTimeout(kTcpUserTimeoutMs), ignored);
+    limit_socket_buffers(socket_);
 }
 
 void Channel::start(OnMessage on_message, OnClosed on_closed) {
--- a/tests/mesh/endless_bytes_test.cpp
+++ b/tests/mesh/endless_bytes_test.cpp
@@ -318,6 +318,24 @@
     CHECK(bytes_sent < kAttempts * kMostPerAttempt);
 }
 
+// Guards against a machine whose memory is full of what its connections have received and its clients have
+// not taken.
+TEST_CASE("endless bytes: what slow clients have not taken yet is bounded in the kernel as well") {
+    // A quarter of the memory of a machine for a thousand connections, which its descriptors allow.
+    constexpr std::size_t kUnreadPerConnection = 256 * kMegabyte / 4 / 1000;
+    constexpr std::size_t kReaders = 300;
+    constexpr std::size_t kConnectionsPerAnswer = 2;  // to the endpoint, and between the proxies
+    EndlessWorld world;
+    world.set_answers([](const std::string& id) {
+        return EndlessAnswer{sound_head(id, "Content-Length: 99999999999\r\n"), repeated("b")};
+    });
+    world.start_readers(kReaders, 50ms);
+    world.play(2 * kPlay);
+    world.check();
+    CAPTURE(world.peak_unread() / kMegabyte);
+    CHECK(world.peak_unread() < kReaders * kConnectionsPerAnswer * kUnreadPerConnection);
+}
+
 // Guards against a controller that keeps the bodies of calls that it has rejected.
 TEST_CASE("endless bytes: a controller holds calls without end within its memory, and answers others") {
     const std::string ip = Processes::ip(1);
