Event loop: one budget for what all connections keep of their peers' bytes

Change: EventLoop::received_bytes(), a quarter of memory_mb in the mesh's programs, 64 MiB elsewhere. Clients', endpoints' and internal connections reserve what they keep until the next read; where there is no room that exchange ends: 503, an answer that is none, or a closed channel. A frame reader frees the memory of a long frame.

--- a/src/bootstrap/settings.h
+++ b/src/bootstrap/settings.h
@@ -127,10 +127,13 @@
     std::optional<Address> readiness;
     std::optional<Address> control;
 
-    /// `limits.memory_mb`, MiB, 8 to 1,048,576; a fraction is cut off: memory of this process. Checked, not
-    /// used. Default: 256.
+    /// `limits.memory_mb`, MiB, 8 to 1,048,576; a fraction is cut off: memory of this process.
+    /// Default: 256.
     std::size_t memory_mb = 256;
 
+    /// What connections may keep of their peers' bytes (EventLoop::received_bytes()): a quarter of it.
+    [[nodiscard]] std::size_t max_received_bytes() const { return memory_mb * 1024 * 1024 / 4; }
+
     /// `limits.file_descriptors`, at least 64: open files and sockets of this process. Default: 4096.
     std::size_t descriptors = 4096;
 };
--- a/src/core/loop.h
+++ b/src/core/loop.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 
+#include "core/byte_budget.h"
 #include "core/log.h"
 #include "core/scheduler.h"
 
@@ -19,6 +20,9 @@
     ~EventLoop() override { const auto pending = std::exchange(timers_, {}); }
 
     asio::io_context& io() { return io_; }
+    /// The budget of all readers on this loop: what a connection keeps of its peer's bytes while it waits for
+    /// more of them. Where it has no room, that connection's exchange ends.
+    ByteBudget& received_bytes() { return received_bytes_; }
     /// The monotonic clock, in the time type of the decision module.
     static Time monotonic();
     Time now() const override { return monotonic(); }
@@ -34,8 +38,12 @@
     }
 
   private:
+    /// In bytes, unless the program sets another limit.
+    static constexpr std::size_t kMaxReceivedBytes = 64 * 1024 * 1024;
+
     void fire_due();
 
+    ByteBudget received_bytes_{kMaxReceivedBytes};  // before io_, whose handlers own connections
     std::map<Key, std::function<void()>>
         timers_;  // declared before io_ to outlive it: its handlers own timers
     std::uint64_t last_id_ = 0;
--- a/src/framing/frame.h
+++ b/src/framing/frame.h
@@ -35,8 +35,12 @@
     explicit FrameReader(std::size_t max_bytes) : max_bytes_(max_bytes) {}
     void feed(std::string_view bytes) {
         buffer_.erase(0, std::exchange(consumed_, 0));
+        // A long frame leaves no memory behind.
+        if (buffer_.empty() && buffer_.capacity() > kMaxFrameBytes) std::string().swap(buffer_);
         buffer_.append(bytes);
     }
+    /// Bytes of a frame that is not complete.
+    std::size_t held_bytes() const { return buffer_.size() - consumed_; }
     /// Returns the next complete message, valid until the next feed(). Throws FrameError if its length
     /// exceeds the limit or its checksum does not match.
     std::optional<std::string_view> next();
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -132,6 +132,7 @@
         return;
     }
     if (!passing && stage_ != Stage::Lingering && buffer_.size() > limits().max_header_bytes) return;
+    if (!reserve_kept_bytes()) return handle_no_room();
     if (paused_since_) paused_time_ += EventLoop::monotonic() - *std::exchange(paused_since_, std::nullopt);
     reading_ = true;
     const std::size_t size = read_size(buffer_, passing || stage_ == Stage::Lingering);
@@ -149,6 +150,16 @@
                             });
 }
 
+bool ClientConnection::reserve_kept_bytes() {
+    return kept_.resize(buffer_.size() + parser_->get().body().size());
+}
+
+void ClientConnection::handle_no_room() {
+    if (stage_ == Stage::Reading) return send_local_reply(http::status::service_unavailable, false);
+    if (stage_ == Stage::Waiting && upload_) return abandon_upload();
+    handle_disconnect();
+}
+
 void ClientConnection::record_early_bytes(std::size_t size) {
     const bool is_open = stage_ == Stage::Writing || (stage_ == Stage::Waiting && !upload_);
     if (!is_open) return;
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -34,6 +34,7 @@
           timer_(listener.loop_),
           linger_read_timer_(listener.loop_),
           record_(++listener.last_connection_),
+          kept_(listener.loop_.received_bytes()),
           arriving_body_(listener.arriving_bodies_),
           buffer_(kMaxBufferBytes),
           incoming_(kMaxBufferBytes) {}
@@ -73,6 +74,10 @@
     /// Moves it to the end of one of the listener's lists.
     void move_to(HttpListener::Clients& to);
     void read();
+    /// Accounts for what is kept until the next read. Returns false if there is no room for it.
+    [[nodiscard]] bool reserve_kept_bytes();
+    /// Ends the exchange for which there is no room.
+    void handle_no_room();
     /// Appends what the last read brought to the bytes that are not parsed yet.
     void append_incoming();
     /// Counts bytes that arrive while a request is open and are not part of its body.
@@ -143,6 +148,7 @@
     Timer timer_;
     Timer linger_read_timer_;
     ConnectionRecord record_;
+    ByteReservation kept_;              // bytes that were read and are neither parsed nor passed on
     ByteReservation arriving_body_;     // of the parser's body, while it is being buffered
     boost::beast::flat_buffer buffer_;  // read, but not parsed yet
     /// The target of the pending read. A read into buffer_ itself would go wrong: parsing moves its contents,
--- a/src/http1/endpoint_connection.cpp
+++ b/src/http1/endpoint_connection.cpp
@@ -42,6 +42,7 @@
       stage_timer_(pool.loop_),
       deadline_timer_(pool.loop_),
       buffer_(kMaxBufferBytes),
+      kept_(pool.loop_.received_bytes()),
       origin_{id, number} {}
 
 void EndpointConnection::start(std::shared_ptr<const HttpMessage> message,
@@ -102,6 +103,7 @@
     pool_.connection_closed(*this);
     stage_timer_.cancel();
     deadline_timer_.cancel();
+    kept_.release();
     error_code ignored;
     socket_.close(ignored);
 }
@@ -176,12 +178,17 @@
 
 void EndpointConnection::continue_reading() {
     if (stage_ == Stage::Closed || reading_ || read_error_) return;
-    if (unstreamed_bytes_ > kMaxUnstreamedBytes) return reject_answer();
+    if (!reserve_kept_bytes()) return reject_answer();
     if (stage_ == Stage::Streaming && !answer_rest_->has_room())
         return stage_timer_.cancel();  // the caller is slower
     read();
 }
 
+bool EndpointConnection::reserve_kept_bytes() {
+    const std::size_t body_bytes = parser_ ? parser_->get().body().size() : 0;
+    return unstreamed_bytes_ <= kMaxUnstreamedBytes && kept_.resize(buffer_.size() + body_bytes);
+}
+
 void EndpointConnection::reject_answer() {
     stage_ == Stage::Streaming ? close() : end_attempt(Status::Error);
 }
@@ -363,6 +370,7 @@
 void EndpointConnection::return_to_pool() {
     stage_ = Stage::Idle;
     unstreamed_bytes_ = 0;
+    kept_.release();
     if (const Duration most = pool_.limits_.connection_idle; most > Duration{}) {
         const Duration keep_for{
             static_cast<Duration::rep>(static_cast<double>(most.count()) * kIdleTimeoutShare)};
--- a/src/http1/endpoint_connection.h
+++ b/src/http1/endpoint_connection.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 
+#include "core/byte_budget.h"
 #include "core/endpoint_client.h"
 #include "core/loop.h"
 #include "core/pipe.h"
@@ -61,6 +62,8 @@
     void read();
     /// Reads on, unless a read is pending or the receiver of the answer is slower.
     void continue_reading();
+    /// Accounts for what is kept until the next read. Returns false if it is more than an answer may take.
+    [[nodiscard]] bool reserve_kept_bytes();
     /// What the endpoint sends is no answer: ends the attempt, or shows the caller that its answer is
     /// truncated.
     void reject_answer();
@@ -115,6 +118,7 @@
     Timer stage_timer_, deadline_timer_;
     Time deadline_{};  // of the request that was sent last
     boost::beast::flat_buffer buffer_;
+    ByteReservation kept_;  // bytes that were read and not passed on
     // Read since the request began to be written, until its answer is streamed.
     std::size_t unstreamed_bytes_ = 0;
     Stage stage_ = Stage::Connecting;
--- a/src/rpc/channel.cpp
+++ b/src/rpc/channel.cpp
@@ -34,7 +34,10 @@
 }  // namespace
 
 Channel::Channel(EventLoop& loop, asio::ip::tcp::socket socket)
-    : loop_(loop), socket_(std::move(socket)), last_received_at_(loop.now()) {
+    : loop_(loop),
+      socket_(std::move(socket)),
+      reassembly_(loop.received_bytes()),
+      last_received_at_(loop.now()) {
     // Errors are ignored here: a connection that is gone already shows it at the first read.
     error_code ignored;
     peer_ = socket_.remote_endpoint(ignored);
@@ -101,6 +104,7 @@
             on_message_(std::move(*message));
             if (!is_open_) return;  // the handler closed the channel
         }
+        if (!reassembly_.resize(reader_.held_bytes())) return fail();
     } catch (const framing::FrameError&) {
         return fail();
     }
@@ -116,6 +120,7 @@
 
 void Channel::close() {
     if (!std::exchange(is_open_, false)) return;
+    reassembly_.release();
     error_code ignored;
     socket_.close(ignored);
     on_closed_ = nullptr;
--- a/src/rpc/channel.h
+++ b/src/rpc/channel.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "core/address.h"
+#include "core/byte_budget.h"
 #include "core/loop.h"
 #include "framing/frame.h"
 #include "rpc/messages.h"
@@ -26,6 +27,8 @@
 /// Failure: the channel closes itself and calls OnClosed if
 /// - the peer closes the connection or does not acknowledge sent bytes within 1 s (TCP_USER_TIMEOUT),
 /// - a frame is damaged or too long, or its message cannot be decoded,
+/// - what has arrived of an incomplete frame does not fit into the loop's budget
+/// (EventLoop::received_bytes()),
 /// - more than 24 MiB wait to be sent: the peer does not read.
 /// Messages that wait then are lost; messages arrive in order, each at most once.
 class Channel : public std::enable_shared_from_this<Channel> {
@@ -70,6 +73,7 @@
     asio::ip::tcp::socket socket_;
     Address peer_;
     framing::FrameReader reader_{kMaxMessageBytes};
+    ByteReservation reassembly_;  // of the loop's budget: what has arrived of an incomplete frame
     std::string read_buffer_;
     std::deque<SharedFrame> send_queue_;
     std::size_t queued_bytes_ = 0;
