Discovery: framing without end is given up within 64 KB

Callers saw: the load balancer could take 1.5 to 2 GB (leads; limit 192) within 1.5 s, and again at each try, when its discovery sent framing without end.

Cause: a flat_buffer without a limit under http::async_read, which counts a head and a body only.

Change: the buffer has a limit; Beast then fails the read, and the list is asked for anew. Buffers of the socket as elsewhere.

Test: Discovery.AnAnswerWhoseFramingHasNoEndIsGivenUpWithinALittleMemory: grew by over 90 MB in each of four forms on (8 are allowed), passes now.

--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "core/events.h"
+#include "core/socket_buffers.h"
 #include "policy/mechanics.h"
 
 namespace martenford {
@@ -29,6 +30,9 @@
 // 100,000 endpoints of 200 bytes, and half as much again.
 constexpr std::size_t kMaxListBytes = 32 * 1024 * 1024;
 
+// Read and not parsed: beyond a head, the size and the extensions of a chunk, and trailer fields.
+constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+
 constexpr std::size_t kLargeListBytes = 64 * 1024;  // deltas are much smaller
 
 /// The time of the Unix epoch on the loop's clock.
@@ -45,7 +49,7 @@
     explicit Exchange(EventLoop& loop) : socket(loop.io()), limit(loop) {}
     asio::ip::tcp::socket socket;
     Timer limit;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
     http::request<http::empty_body> call;
     std::optional<http::response_parser<http::string_body>> answer;
 };
@@ -175,6 +179,7 @@
         http::async_write(exchange->socket, exchange->call, written);
     };
     if (!new_connection) return write();
+    open_with_limited_buffers(exchange->socket, address_);
     exchange->socket.async_connect(address_, [exchange, is_current, write](const error_code& error) {
         if (!is_current(error, "connect")) return;
         error_code ignored;
--- a/tests/discovery/discovery_test.cpp
+++ b/tests/discovery/discovery_test.cpp
@@ -60,6 +60,41 @@
     EXPECT_EQ(body_of(client.receive()), "1");
 }
 
+// Guards against keeping, of an answer without end, what cannot be parsed: it took up to 2 GB before its time
+// was over.
+TEST(Discovery, AnAnswerWhoseFramingHasNoEndIsGivenUpWithinALittleMemory) {
+    constexpr double kMaxGrowthMb = 8.0;
+    constexpr std::size_t kPieceBytes = 256 * 1024;
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string fields = [] {
+        std::string text;
+        while (text.size() < kPieceBytes) text += "T: t\r\n";
+        return text;
+    }();
+    const std::vector<std::pair<std::string, std::string>> forms = {
+        {head, std::string(kPieceBytes, '0')},
+        {head + "10;", std::string(kPieceBytes, 'e')},
+        {head + "3\r\nabc\r\n0\r\nT: ", std::string(kPieceBytes, 't')},
+        {head + "3\r\nabc\r\n0\r\n", fields}};
+    Listener discovery, first;
+    Sidecar sidecar(config(discovery.address(), target("s-1", first.address()), "automatic"), "",
+                    {"ASAN_OPTIONS=quarantine_size_mb=1:thread_local_quarantine_size_kb=64"});
+    for (const auto& [beginning, piece] : forms) {
+        Peer watch = discovery.accept();
+        EXPECT_TRUE(has(watch.receive(), "since=41&"));
+        const double before = sidecar.memory_mb();
+        watch.send(beginning);
+        double peak = before;
+        for (int pieces = 0; pieces < 400; ++pieces) {  // 100 MB
+            watch.send(piece);
+            peak = std::max(peak, sidecar.memory_mb());
+        }
+        EXPECT_LT(peak, before + kMaxGrowthMb);
+    }
+    Peer watch = discovery.accept();
+    EXPECT_TRUE(has(watch.receive(), "since=41&"));
+}
+
 TEST(Discovery, ATruncatedAnswerIsRetriedBeforeTheWatchTimesOut) {
     Listener discovery, first, second;
     Sidecar sidecar(config(discovery.address(), target("s-1", first.address()), "automatic"));
