gRPC: frames that belong to no answer end the connection after 1,000

Cause: PING, SETTINGS and empty DATA frames without end were each answered or dropped; nghttp2 counts only those whose acknowledgements wait.

Change: a count since the last frame that belonged to an answer.

Test: H2Client.FramesWithoutEndEndTheConnectionOrTheStream: three of five kinds went on after 5,000 frames before.

--- a/src/grpc/h2_client.cpp
+++ b/src/grpc/h2_client.cpp
@@ -76,6 +76,8 @@
     }
     static int received(nghttp2_session*, const nghttp2_frame* frame, void* user) {
         H2Client& client = self(user);
+        client.count_frame(frame->hd.type == NGHTTP2_HEADERS ||
+                           (frame->hd.type == NGHTTP2_DATA && frame->hd.length > 0));
         if (frame->hd.type == NGHTTP2_GOAWAY) {
             // A second one may only lower it (RFC 9113, 6.8).
             const auto last = frame->goaway.last_stream_id;
@@ -224,10 +226,15 @@
     handler_.on_ended(id, std::move(stream->answer));
 }
 
+/// Counts frames that cost their sender next to nothing. A stream limits the heads that it takes.
+void H2Client::count_frame(bool belongs_to_answer) {
+    idle_frames_ = belongs_to_answer ? 0 : idle_frames_ + 1;
+}
+
 bool H2Client::feed(std::string_view bytes) {
     const auto got =
         nghttp2_session_mem_recv(session_, reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
-    return got >= 0 && nghttp2_session_want_read(session_) != 0;
+    return got >= 0 && idle_frames_ <= limits_.idle_frames && nghttp2_session_want_read(session_) != 0;
 }
 
 std::string H2Client::output(std::size_t most) {
--- a/src/grpc/h2_client.h
+++ b/src/grpc/h2_client.h
@@ -38,6 +38,9 @@
         std::size_t head = 8 * 1024;       ///< of an answer, its trailers included
         std::size_t body = 64 * 1024 + 5;  ///< as HTTP/1.1's, and a message's prefix
         std::size_t message = 64 * 1024;
+        /// Frames that neither begin nor continue an answer (PING, SETTINGS, empty DATA and the like), one
+        /// after the other.
+        std::size_t idle_frames = 1000;
     };
 
     H2Client(Handler& handler, const Limits& limits);
@@ -55,7 +58,8 @@
     /// Whether a byte of it has been given out to be written.
     bool begun(std::int32_t stream) const;
 
-    /// False: nothing more is wanted of the peer; lost() is to follow.
+    /// False: nothing more is wanted of the peer, which broke the protocol or sends frames without end that
+    /// belong to no answer; lost() is to follow.
     bool feed(std::string_view bytes);
     std::string output(std::size_t most = 64 * 1024);
     /// So many more bytes of what output() gave have been written. What has not is not on its way.
@@ -71,6 +75,7 @@
     struct Callbacks;
     friend struct Callbacks;
     Stream* find(std::int32_t stream);
+    void count_frame(bool belongs_to_answer);
     void fail(std::int32_t id, Stream& stream, Ending::How how);
     Ending judge(std::int32_t id, const Stream& stream, std::uint32_t code) const;
     void end(std::int32_t id, Ending ending);
@@ -81,6 +86,7 @@
     std::map<std::int32_t, std::unique_ptr<Stream>> streams_;  // in order, so that a loss ends them in order
     std::uint64_t out_ = 0, written_ = 0;
     std::vector<std::int32_t> finishing_;         // whose END_STREAM is in what is given out just now
+    std::size_t idle_frames_ = 0;                 // since the last that belonged to an answer
     std::optional<std::int32_t> last_processed_;  // of the peer's GOAWAY
 };
 
--- a/tests/grpc/h2_client_test.cpp
+++ b/tests/grpc/h2_client_test.cpp
@@ -302,4 +302,31 @@
     EXPECT_GT(server.figures().requests, 3'000u);
 }
 
+// Guards against a peer that takes memory or time without end: none of these frames is counted by nghttp2
+// alone.
+TEST(H2Client, FramesWithoutEndEndTheConnectionOrTheStream) {
+    const auto ping = frame(NGHTTP2_PING, 0, 0, std::string(8, 'p'));
+    const auto settings = frame(NGHTTP2_SETTINGS, 0, 0, "");
+    const auto continuation = frame(NGHTTP2_CONTINUATION, 0, 1, block({{"a", std::string(100, 'v')}}));
+    const auto empty_data = frame(NGHTTP2_DATA, 0, 1, "");
+    const auto interim = frame(NGHTTP2_HEADERS, NGHTTP2_FLAG_END_HEADERS, 1, block({{":status", "100"}}));
+    const std::vector<std::pair<const char*, std::string>> pieces = {{"ping", ping},
+                                                                     {"settings", settings},
+                                                                     {"continuation", continuation},
+                                                                     {"empty data", empty_data},
+                                                                     {"interim", interim}};
+    for (const auto& [name, piece] : pieces) {
+        Call call;
+        if (piece == continuation) call.say(frame(NGHTTP2_HEADERS, 0, 1, block({{":status", "200"}})));
+        if (piece == empty_data) call.begin_answer();
+        bool open = true;
+        int said = 0;
+        for (; said < 5000 && open && call.ended.all.empty(); ++said) {
+            open = call.say(piece);
+            call.client.output();
+        }
+        EXPECT_TRUE(!open || !call.ended.all.empty()) << name;
+    }
+}
+
 }  // namespace
