Fleet links: the kernel's buffers are bounded as elsewhere

Links between sidecars read at once and limit their messages a second, so that no case was brought about; the test of the kernel's buffers is mesh_endless_bytes 'what slow clients have not taken', for the same function.

--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "core/events.h"
+#include "core/socket_buffers.h"
 #include "framing/frame.h"
 
 namespace martenford::peers {
@@ -92,6 +93,7 @@
                      [self = shared_from_this()] { self->close(Evidence::Silent); });
         error_code error;
         socket_.open(where.protocol(), error);
+        if (!error) limit_socket_buffers(socket_);
         // Connects from the listen address, so that peers can tell whose link this is.
         if (!error && !peers_.listens_on_any_address_) socket_.bind({peers_.listen_.address(), 0}, error);
         if (error) {
@@ -398,6 +400,7 @@
             links_refused_.add();
             reject(socket);
         } else {
+            limit_socket_buffers(socket);
             const auto link = std::make_shared<Link>(*this, std::move(socket), false);
             links_.push_back(link);
             link->send_hello();
