--- a/tests/mesh/hop_doubles.h
+++ b/tests/mesh/hop_doubles.h
@@ -129,6 +129,8 @@
         std::string late_response{};
         Duration late_after{};
         bool closes = false;  ///< the connection, after the last of these
+        /// Sent again and again after the response, until the peer closes; empty: not.
+        std::string endless_piece{};
     };
     /// @param arrival of this id at this endpoint, counted from 1
     using ScriptFunction = std::function<Script(const std::string& id, int arrival)>;
@@ -198,12 +200,23 @@
                 if (step.closes) reset(stream->socket);
             };
             if (step.late_response.empty() && step.closes) return write(stream, step.response, close);
+            if (!step.endless_piece.empty()) {
+                const auto piece = std::make_shared<const std::string>(step.endless_piece);
+                return write(stream, step.response,
+                             [this, stream, piece] { write_endlessly(stream, piece); });
+            }
             respond(stream, step.response);
             if (step.late_response.empty()) return;
             loop_.add(loop_.now() + step.late_after,
                       [this, stream, step, close] { write(stream, step.late_response, close); });
         });
     }
+    void write_endlessly(const StreamPtr& stream, const std::shared_ptr<const std::string>& piece) {
+        asio::async_write(stream->socket, asio::buffer(*piece),
+                          [this, stream, piece](const error_code& error, std::size_t) {
+                              if (!error) write_endlessly(stream, piece);
+                          });
+    }
     void serve(const StreamPtr& stream, const std::string& id, Behavior behavior) {
         const std::string response = served_text(id);
         switch (behavior) {
--- a/tests/mesh/rig/answer_world.cpp
+++ b/tests/mesh/rig/answer_world.cpp
@@ -18,8 +18,16 @@
 /// Of what a client did before a violation.
 constexpr Duration kStoryLength = 5s;
 /// Percent of the arrivals, in the order in which the lot is read.
-constexpr std::size_t kRejections = 15, kErrors = 5, kHalfResponses = 2, kSilences = 1;
+constexpr std::size_t kRejections = 15, kErrors = 5, kHalfResponses = 2, kSilences = 1, kEndlessResponses = 2;
 constexpr std::size_t kLateResponses = 40;
+constexpr std::size_t kPieceBytes = 64 * 1024;
+constexpr Duration kMemorySampleInterval = 500ms;
+/// `memory_mb` of the platform's machines. The sanitizer's own memory is not the program's.
+#ifdef __SANITIZE_ADDRESS__
+constexpr std::size_t kMemoryLimit = 2 * 260 * 1024 * 1024;
+#else
+constexpr std::size_t kMemoryLimit = 260 * 1024 * 1024;
+#endif
 
 /// Each version differs in a limit, so that proxies take a new one in.
 std::string config_text(unsigned version) {
@@ -53,6 +61,33 @@
     return hop_world::response_text("500 Error", id, "Server-Seal: " + seal + "\r\n", "no");
 }
 
+/// A part of an answer, and what follows it without end.
+struct EndlessResponse {
+    std::string beginning, piece;
+};
+EndlessResponse endless_response(const std::string& id, std::size_t form) {
+    const auto repeated = [](const std::string& text) {
+        std::string piece;
+        while (piece.size() < kPieceBytes) piece += text;
+        return piece;
+    };
+    const std::string chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Seal: endless\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string passed_on = chunked + repeated(chunk) + repeated(chunk);
+    const std::vector<EndlessResponse> forms = {
+        {"", repeated("\xff")},
+        {"", repeated("HTTP/1.1 100 Continue\r\n\r\n")},
+        {head, repeated("X: y\r\n")},
+        {chunked, repeated("0")},
+        {chunked + "1;", repeated("e")},
+        {chunked + "0\r\nT: ", repeated("t")},
+        {passed_on + "1;", repeated("e")},
+        {passed_on + "0\r\n", repeated("T: t\r\n")},
+        {"HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nTransfer-Encoding: chunked\r\n\r\n", repeated(chunk)}};
+    return forms[form % forms.size()];
+}
+
 /// Whether the status promises that the request did not run.
 bool promises_not_run(int status) {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -116,6 +151,13 @@
         broken_off_.insert(id);
         script.closes = true;
         script.delay = kTimeRemaining;
+    } else if (is(kEndlessResponses)) {
+        broken_off_.insert(id);
+        ++endless_answers_;
+        auto [beginning, piece] = endless_response(id, random_());
+        script.response = std::move(beginning);
+        script.endless_piece = std::move(piece);
+        return script;
     } else {
         given_[id].insert(seal);
         script.response = success_text(id, seal, hop_world::body_of(id));
@@ -159,6 +201,7 @@
     fleet_.limit_processors();
     clients_run_ = true;
     pause_ = pause;
+    sample_memory();
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
         for (std::size_t k = 0; k < connections; ++k) {
             clients_.push_back({i, clients_.size() + 1,
@@ -168,6 +211,11 @@
     }
 }
 
+void AnswerWorld::sample_memory() {
+    for (const pid_t process : fleet_.proxy_pids()) memory_.sample(process);
+    if (clients_run_) loop_.add(loop_.now() + kMemorySampleInterval, [this] { sample_memory(); });
+}
+
 void AnswerWorld::settle() {
     clients_run_ = false;
     fleet_.wait_for("requests and faults that end",
@@ -281,6 +329,8 @@
                             std::to_string(after.count()) + " ms after it was sent");
         }
     }
+    if (memory_.highest() > kMemoryLimit)
+        found.push_back("FAULT: a proxy took " + std::to_string(memory_.highest()) + " bytes");
     std::set<std::string> sent;
     for (const Exchange& exchange : exchanges_) sent.insert(exchange.id);
     for (const auto& [id, runs] : history_.executions)
@@ -300,8 +350,8 @@
         ++outcomes[response.status != 0 ? std::to_string(response.status) : failed];
     }
     std::ostringstream text;
-    text << exchanges_.size() << " requests, " << late_answers_ << " late answers, " << fleet_.summary()
-         << ";";
+    text << exchanges_.size() << " requests, " << late_answers_ << " late answers, " << endless_answers_
+         << " endless ones, " << memory_.highest() / 1'000'000 << " MB, " << fleet_.summary() << ";";
     for (const auto& [outcome, count] : outcomes) text << " " << outcome << ": " << count;
     return text.str();
 }
--- a/tests/mesh/rig/answer_world.h
+++ b/tests/mesh/rig/answer_world.h
@@ -1,7 +1,7 @@
 // Clients that keep their connections open until the proxy is gone, and endpoints that answer by lot: whole,
-// not at all, with a rejection, and often a second time and late, over a fleet of real proxies. Judges that
-// each client got the answer to its own request, that no request ran twice or after a rejection, and that
-// none was cut without a fault near.
+// not at all, without end, with a rejection, and often a second time and late, over a fleet of real proxies.
+// Judges that each client got the answer to its own request, that no request ran twice or after a rejection,
+// and that none was cut without a fault near.
 #pragma once
 
 #include <cstdint>
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "mesh/hop_doubles.h"
+#include "mesh/rig/memory_use.h"
 #include "mesh/rig/proxy_fleet.h"
 
 namespace martenford::rig {
@@ -63,6 +64,7 @@
     [[nodiscard]] std::string draw_late_response(const std::string& id, int arrival);
     void send(Client& client, bool idempotent, const std::function<void()>& then);
     void keep_busy(Client& client);
+    void sample_memory();
     [[nodiscard]] bool is_lost(const Exchange& exchange) const;
     /// The exchange, and those of its client before it, for people.
     [[nodiscard]] std::string story(const Exchange& exchange) const;
@@ -82,7 +84,8 @@
     std::set<std::string> reached_, broken_off_;                // requests; by their endpoint
     std::list<Client> clients_;
     std::vector<Exchange> exchanges_;
-    std::size_t open_exchanges_ = 0, late_answers_ = 0;
+    std::size_t open_exchanges_ = 0, late_answers_ = 0, endless_answers_ = 0;
+    MemoryPeaks memory_;
     std::uint64_t last_id_ = 0;
     Duration pause_{};
     bool clients_run_ = false;
