Tests of memory: only programs are measured, and what the sanitizer keeps is bounded

The address sanitizer keeps up to 256 MB of freed memory, which is not the program's.

Change: processes are measured from main() on; the sanitizer's quarantine is 1 MB in these tests. The bounds are as before.

--- a/tests/mesh/endless_bytes_test.cpp
+++ b/tests/mesh/endless_bytes_test.cpp
@@ -119,6 +119,7 @@
               {kProxies, "vault", config_text, [this](std::size_t i) {
                    return Heartbeat{"i", heartbeat_with_slots(fleet_.address(i, Port::App), ++heartbeats_)};
                }}) {
+        limit_sanitizer_memory();
         for (std::size_t i = 0; i < kProxies; ++i) {
             endpoints_.push_back(
                 std::make_unique<EndlessEndpoint>(fleet_.loop(), fleet_.address(i, Port::App),
@@ -366,6 +367,7 @@
 TEST_CASE("endless bytes: a controller holds calls without end within its memory, and answers others") {
     const std::string ip = Processes::ip(1);
     const Machine machine{.name = "controller", .ip = ip, .seeds = {at(ip, Port::Control)}, .top = {}};
+    limit_sanitizer_memory();
     StartedProgram program(machine);
     REQUIRE(accepts_first_configuration({machine}, 20s));
     EventLoop loop;
--- a/tests/mesh/rig/answer_world.cpp
+++ b/tests/mesh/rig/answer_world.cpp
@@ -184,6 +184,7 @@
 // ---- clients
 
 void AnswerWorld::start() {
+    limit_sanitizer_memory();
     for (std::size_t i = 0; i < fleet_.size(); ++i) start_endpoint(i);
     fleet_.start();
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
--- a/tests/mesh/rig/memory_use.cpp
+++ b/tests/mesh/rig/memory_use.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <set>
@@ -31,6 +32,10 @@
 
 }  // namespace
 
+void limit_sanitizer_memory() {
+    ::setenv("ASAN_OPTIONS", "quarantine_size_mb=1:thread_local_quarantine_size_kb=64", 1);
+}
+
 std::size_t resident_bytes(pid_t process) {
     std::ifstream file(directory_of(process) + "/statm");
     std::size_t whole = 0, resident = 0;
--- a/tests/mesh/rig/memory_use.h
+++ b/tests/mesh/rig/memory_use.h
@@ -11,6 +11,10 @@
 
 namespace martenford::rig {
 
+/// Programs that are started from now on give freed memory back under the address sanitizer too, which would
+/// keep up to 256 MB of it.
+void limit_sanitizer_memory();
+
 /// Its resident memory, in bytes; 0 if there is no such process.
 [[nodiscard]] std::size_t resident_bytes(pid_t process);
 /// Bytes in the kernel's receive queues of its TCP connections.
--- a/tests/mesh/rig/proxy_fleet.cpp
+++ b/tests/mesh/rig/proxy_fleet.cpp
@@ -370,7 +370,7 @@
 std::vector<pid_t> ProxyFleet::proxy_pids() const {
     std::vector<pid_t> pids;
     for (std::size_t i = 0; i < size(); ++i)
-        if (processes_.is_up(name(i))) pids.push_back(processes_.pid(name(i)));
+        if (processes_.accepts_termination(name(i))) pids.push_back(processes_.pid(name(i)));
     return pids;
 }
 
--- a/tests/mesh/rig/proxy_fleet.h
+++ b/tests/mesh/rig/proxy_fleet.h
@@ -104,7 +104,7 @@
     [[nodiscard]] std::vector<std::string> process_violations();
     /// Whether a process did not end as it should. It is not started again: a test stops here.
     [[nodiscard]] bool has_unexpected_exit() const { return !processes_.unexpected_exits().empty(); }
-    /// The proxies that run, in any order.
+    /// The proxies that have reached main(), in any order. Before, a process has the memory of this test.
     [[nodiscard]] std::vector<pid_t> proxy_pids() const;
     /// The logs of all processes.
     [[nodiscard]] std::string logs() const;
