--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -64,7 +64,7 @@
                     on_inbound_message(connection, std::move(message));
                 },
                 [this](ConnectionId connection) { watchers_.remove(connection); }}) {
-    loop_.received_bytes().set_max_bytes(settings.max_received_bytes());
+    loop_.received_bytes()->set_max_bytes(settings.max_received_bytes());
     connect_config_service(config_service_, settings.control->port());
     operator_api_.listen(std::move(sockets.operators));
     for (const raft::Member& voter : raft_.persistent_state().last_entry.voters) {
--- a/src/core/byte_budget.h
+++ b/src/core/byte_budget.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
+#include <utility>
 
 namespace martenford {
 
@@ -28,30 +30,30 @@
     std::size_t held_bytes_ = 0;
 };
 
-/// What one connection has of a budget. Its destruction gives it back.
+/// What one connection has of a budget. Its destruction gives it back. It shares the budget: connections
+/// whose handlers are still pending outlive the listener that accepted them.
 class ByteReservation {
   public:
-    /// @param budget outlives it
-    explicit ByteReservation(ByteBudget& budget) : budget_(budget) {}
-    ~ByteReservation() { budget_.remove(bytes_); }
+    explicit ByteReservation(std::shared_ptr<ByteBudget> budget) : budget_(std::move(budget)) {}
+    ~ByteReservation() { budget_->remove(bytes_); }
     ByteReservation(const ByteReservation&) = delete;
     ByteReservation& operator=(const ByteReservation&) = delete;
 
     /// Returns false, and changes nothing, if the budget has no room for more. Less always fits.
     [[nodiscard]] bool resize(std::size_t bytes) {
-        if (bytes > bytes_ && !budget_.add(bytes - bytes_)) return false;
-        if (bytes < bytes_) budget_.remove(bytes_ - bytes);
+        if (bytes > bytes_ && !budget_->add(bytes - bytes_)) return false;
+        if (bytes < bytes_) budget_->remove(bytes_ - bytes);
         bytes_ = bytes;
         return true;
     }
     void release() {
-        budget_.remove(bytes_);
+        budget_->remove(bytes_);
         bytes_ = 0;
     }
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
 
   private:
-    ByteBudget& budget_;
+    std::shared_ptr<ByteBudget> budget_;
     std::size_t bytes_ = 0;
 };
 
--- a/src/core/loop.h
+++ b/src/core/loop.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <map>
+#include <memory>
 
 #include "core/byte_budget.h"
 #include "core/log.h"
@@ -22,7 +23,7 @@
     asio::io_context& io() { return io_; }
     /// The budget of all readers on this loop: what a connection keeps of its peer's bytes while it waits for
     /// more of them. Where it has no room, that connection's exchange ends.
-    ByteBudget& received_bytes() { return received_bytes_; }
+    const std::shared_ptr<ByteBudget>& received_bytes() const { return received_bytes_; }
     /// The monotonic clock, in the time type of the decision module.
     static Time monotonic();
     Time now() const override { return monotonic(); }
@@ -43,7 +44,7 @@
 
     void fire_due();
 
-    ByteBudget received_bytes_{kMaxReceivedBytes};  // before io_, whose handlers own connections
+    std::shared_ptr<ByteBudget> received_bytes_ = std::make_shared<ByteBudget>(kMaxReceivedBytes);
     std::map<Key, std::function<void()>>
         timers_;  // declared before io_ to outlive it: its handlers own timers
     std::uint64_t last_id_ = 0;
--- a/src/http1/client_answer.cpp
+++ b/src/http1/client_answer.cpp
@@ -37,7 +37,7 @@
 }
 
 void ClientConnection::hold(Answer&& answer) {
-    held_answer_ = std::make_unique<HeldAnswer>(std::move(answer), *listener_.held_answers_);
+    held_answer_ = std::make_unique<HeldAnswer>(std::move(answer), listener_.held_answers_);
     held_answer_->start([this](HeldAnswer::End end) {
         const auto self = shared_from_this();
         const auto held = std::exchange(held_answer_, nullptr);
--- a/src/http1/held_answer.h
+++ b/src/http1/held_answer.h
@@ -5,6 +5,8 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
+#include <utility>
 
 #include "core/byte_budget.h"
 #include "core/engine.h"
@@ -22,8 +24,9 @@
     using Callback = std::function<void(End)>;
 
     /// @param answer must have a `rest`
-    /// @param budget of all held answers of one listener; outlives it
-    HeldAnswer(Answer&& answer, ByteBudget& budget) : answer_(std::move(answer)), reservation_(budget) {}
+    /// @param budget of all held answers of one listener
+    HeldAnswer(Answer&& answer, std::shared_ptr<ByteBudget> budget)
+        : answer_(std::move(answer)), reservation_(std::move(budget)) {}
     /// The writer of the rest is told that nobody reads it, unless take() was called.
     ~HeldAnswer();
     HeldAnswer(const HeldAnswer&) = delete;
--- a/src/http1/listener.cpp
+++ b/src/http1/listener.cpp
@@ -38,7 +38,7 @@
       max_connections_(max_connections),
       ready_(std::move(ready)),
       acceptor_(loop.io()),
-      arriving_bodies_(std::numeric_limits<std::size_t>::max()),
+      arriving_bodies_(std::make_shared<ByteBudget>(std::numeric_limits<std::size_t>::max())),
       accept_retry_timer_(loop),
       drain_timer_(loop),
       evacuation_timer_(loop),
@@ -67,7 +67,7 @@
 void HttpListener::accept_on(asio::ip::tcp protocol, int descriptor) {
     acceptor_.assign(protocol, descriptor);
     acceptor_.non_blocking(true);
-    arriving_bodies_.set_max_bytes(protocol_.limits().max_arriving_body_bytes);
+    arriving_bodies_->set_max_bytes(protocol_.limits().max_arriving_body_bytes);
     accept();
 }
 
@@ -151,7 +151,7 @@
     const DrainTimes times = protocol_.drain_times();
     answer_deadline_ = EventLoop::monotonic() + times.answer_deadline;
     if (times.max_held_bytes > 0) {
-        held_answers_ = std::make_unique<ByteBudget>(times.max_held_bytes);
+        held_answers_ = std::make_shared<ByteBudget>(times.max_held_bytes);
         give_up_timer_.set(answer_deadline_ + kGiveUpDelay, [this] { give_up(); });
     }
     if (replaced_)
--- a/src/http1/listener.h
+++ b/src/http1/listener.h
@@ -116,7 +116,7 @@
     Clients partial_;  // a request has begun to arrive; ordered by the last read
     Clients active_;   // a request is being handled; never evicted
     bool accepting_ = false;
-    ByteBudget arriving_bodies_;  // that are being buffered, on all connections
+    const std::shared_ptr<ByteBudget> arriving_bodies_;  // that are being buffered, on all connections
     Timer accept_retry_timer_, drain_timer_, evacuation_timer_, give_up_timer_;
     std::optional<Time> evacuated_since_;  // start of the evacuation
     bool replaced_ = false;
@@ -124,7 +124,7 @@
     std::uint64_t last_connection_ = 0;  // number of the connection accepted last
     std::function<void()> on_drained_;
     Time answer_deadline_{};                    // while draining: when all accepted requests must be answered
-    std::unique_ptr<ByteBudget> held_answers_;  // null: answers are passed on as they arrive
+    std::shared_ptr<ByteBudget> held_answers_;  // null: answers are passed on as they arrive
     bool stopped_serving_ = false, drain_finished_ = false;
 };
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -60,7 +60,7 @@
           [&settings](const std::string& address) { return bootstrap::is_seed_address(settings, address); },
           *this),
       shutdown_({loop_, outbound_, inbound_, local_endpoint_}, settings.bounds.grace) {
-    loop_.received_bytes().set_max_bytes(settings.max_received_bytes());
+    loop_.received_bytes()->set_max_bytes(settings.max_received_bytes());
     outbound_.listen(std::move(sockets.outbound));
     inbound_.listen(std::move(sockets.inbound));
     control_server_.listen(std::move(sockets.control));
--- a/tests/mesh/front_test.cpp
+++ b/tests/mesh/front_test.cpp
@@ -219,7 +219,7 @@
 }
 
 TEST_CASE("held answer: a writer that goes on while it is read loses nothing") {
-    ByteBudget limit(1000);
+    const auto limit = std::make_shared<ByteBudget>(1000);
     Answer answer{Answer::Kind::Served, "a", "", {}};
     const auto rest = answer.rest = std::make_shared<Pipe>(1);
     std::string still_to_come = "cde";
@@ -238,7 +238,7 @@
     rest->put("b");
     CHECK(body == "abcde");
     CHECK(held == nullptr);
-    CHECK(limit.held_bytes() == 0);
+    CHECK(limit->held_bytes() == 0);
 }
 
 // Guards against a controller over its memory limit: 100 calls of 8 MB that do not end took 790 MB.
--- a/tests/mesh/received_bytes_test.cpp
+++ b/tests/mesh/received_bytes_test.cpp
@@ -71,7 +71,7 @@
 }  // namespace
 
 TEST_CASE("received bytes: a reservation that does not fit changes nothing, and an ended one makes room") {
-    ByteBudget budget(100);
+    const auto budget = std::make_shared<ByteBudget>(100);
     ByteReservation first(budget);
     CHECK(first.resize(60));
     {
@@ -79,13 +79,13 @@
         CHECK(second.resize(40));
         CHECK_FALSE(second.resize(41));
         CHECK(second.bytes() == 40);
-        CHECK(budget.held_bytes() == 100);
+        CHECK(budget->held_bytes() == 100);
     }
     CHECK(first.resize(100));
-    budget.set_max_bytes(10);
+    budget->set_max_bytes(10);
     CHECK_FALSE(first.resize(101));
     CHECK(first.resize(5));
-    CHECK(budget.held_bytes() == 5);
+    CHECK(budget->held_bytes() == 5);
 }
 
 // Guards against controllers whose connections each keep the beginning of a frame of 16 MiB: 4,096 may be
@@ -93,7 +93,7 @@
 TEST_CASE("received bytes: incomplete frames on many channels are bounded together") {
     constexpr std::size_t kMaxBytes = 1'000'000;
     EventLoop loop;
-    loop.received_bytes().set_max_bytes(kMaxBytes);
+    loop.received_bytes()->set_max_bytes(kMaxBytes);
     rpc::RegisterRequest request;
     request.registration.node = std::string(600'000, 'n');
     const std::string frame = *rpc::Channel::frame(rpc::Message(request));
@@ -108,12 +108,12 @@
     };
     const std::string_view all(frame);
     send(first.peers, all.substr(0, frame.size() - 1));
-    run_until(loop, [&] { return loop.received_bytes().held_bytes() == frame.size() - 1; });
+    run_until(loop, [&] { return loop.received_bytes()->held_bytes() == frame.size() - 1; });
     send(second.peers, all.substr(0, frame.size() - 1));
     run_until(loop, [&] { return second_closed == 1; });
     send(first.peers, all.substr(frame.size() - 1));
     run_until(loop, [&] { return first_received == 1; });
-    CHECK(loop.received_bytes().held_bytes() == 0);
+    CHECK(loop.received_bytes()->held_bytes() == 0);
     first_channel->close();
 }
 
